--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,4 +1,4 @@
-// The policy: every decision of frosttrestle. Its interface is api.go.
+// The policy: every decision of tinroute. Its interface is api.go.
 //
 // The mechanism is AdaRep of Joshi and Kaushal, "Synergy via Redundancy": jobs
 // wait in arrival order; when a worker has room, a running job that is past its
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"frosttrestle.example/frosttrestle/balance"
+	"tinroute.example/tinroute/balance"
 )
 
 // printer carries out what a Balancer asks by printing it.
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"runtime/debug"
 
-	"frosttrestle.example/frosttrestle/balance"
-	"frosttrestle.example/frosttrestle/internal/wire"
+	"tinroute.example/tinroute/balance"
+	"tinroute.example/tinroute/internal/wire"
 )
 
 func main() {
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"frosttrestle.example/frosttrestle/balance"
+	"tinroute.example/tinroute/balance"
 )
 
 // Kind is the name of an input message.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"frosttrestle.example/frosttrestle/balance"
+	"tinroute.example/tinroute/balance"
 )
 
 // Encoder writes the actions of one instance as lines. It implements
--- a/internal/wire/facts.go
+++ b/internal/wire/facts.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"frosttrestle.example/frosttrestle/balance"
+	"tinroute.example/tinroute/balance"
 )
 
 // facts reads the settings object, remembering the first key that is missing or
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"frosttrestle.example/frosttrestle/balance"
+	"tinroute.example/tinroute/balance"
 )
 
 const up = `["up",3,18446744073709551615,{"classes":[{"name":"clip","repeat":"dedup","group":"cell",` +
