--- a/balance/api.go
+++ b/balance/api.go
@@ -128,6 +128,9 @@
 	Peers          bool
 	ConnectTimeout time.Duration
 	Tick           time.Duration // the least time between two events' instants
+	MaxRetryAfter  time.Duration // the longest advice that clients follow, 0 for none
+	ConnIdle       time.Duration // workers close connections idle for this long; for the Host
+	MaxOpen        int           // jobs that may be open at once, 0 for any number; for the Host
 
 	AskWithin  time.Duration // ask the list at least this often unless subscribed
 	AskList    bool          // the list comes only when asked for
--- /dev/null
+++ b/dispatch/core.go
@@ -0,0 +1,409 @@
+package dispatch
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"tinroute.example/tinroute/balance"
+)
+
+const (
+	mailbox = 256 // events on their way to the core; further senders wait
+	// An answer is due before the client gives up. The balancer sees to that; should it
+	// not, the core fails the transaction this long after, inside the rules' slack.
+	overdue = 10 * time.Millisecond
+	// A cancel that a region does not settle keeps its slot busy for this many connect
+	// time-outs; then the balancer is told that the task is cancelled.
+	cancelWaits = 2
+)
+
+// Core is one dispatcher: a balancer and what it decides about.
+type Core struct {
+	settings balance.Settings
+	log      *slog.Logger
+	clock    Clock
+	regions  Regions
+	table    ServiceTable
+	observer Observer
+
+	events chan func()
+	closed chan struct{}
+	open   atomic.Int64 // transactions without a final answer
+
+	// The rest is the goroutine's own.
+	balancer *balance.Balancer
+	now      time.Duration
+	jobs     map[balance.JobID]*Transaction
+	nextJob  balance.JobID
+	members  map[balance.WorkerID]Region
+	deferred []func()
+	timers   timers
+	active   int
+}
+
+// Options are the parts that a Core works with. Log and Observer may be left out.
+type Options struct {
+	Settings balance.Settings
+	Log      *slog.Logger
+	Observer Observer
+}
+
+// New returns a core that does nothing until Connect and Run.
+func New(o Options) (*Core, error) {
+	c := &Core{settings: o.Settings, log: o.Log, observer: o.Observer, clock: NewClock(),
+		events: make(chan func(), mailbox), closed: make(chan struct{}),
+		jobs: map[balance.JobID]*Transaction{}, members: map[balance.WorkerID]Region{}}
+	if c.log == nil {
+		c.log = slog.New(slog.DiscardHandler)
+	}
+	if c.observer == nil {
+		c.observer = silent{}
+	}
+	var err error
+	c.balancer, err = balance.New(o.Settings, host{c})
+	return c, err
+}
+
+// Connect gives the core its drivers, which in turn know the core.
+func (c *Core) Connect(r Regions, t ServiceTable) { c.regions, c.table = r, t }
+
+// Settings are those that the core was made with.
+func (c *Core) Settings() *balance.Settings { return &c.settings }
+
+// Open is the number of transactions that are owed an answer.
+func (c *Core) Open() int { return int(c.open.Load()) }
+
+// Run owns the core until the context ends.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.closed)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-c.events:
+			c.turn(f)
+		case <-timer.C:
+			c.turn(func() {})
+		}
+		if len(c.timers) > 0 {
+			timer.Reset(max(0, c.timers[0].at-c.clock.Now()))
+		}
+	}
+}
+
+// turn handles one event, then whatever its actions left to do: outcomes of sends that
+// never left, which must not reach the balancer from inside its own action.
+func (c *Core) turn(f func()) {
+	c.now = c.clock.Now()
+	f()
+	for {
+		for len(c.deferred) > 0 {
+			next := c.deferred[0]
+			c.deferred = c.deferred[1:]
+			next()
+		}
+		if len(c.timers) == 0 || c.timers[0].at > c.now {
+			return
+		}
+		due := heap.Pop(&c.timers).(*timer)
+		due.f()
+	}
+}
+
+func (c *Core) post(f func()) {
+	select {
+	case c.events <- f:
+	case <-c.closed:
+	}
+}
+
+func (c *Core) after(d time.Duration, f func()) *timer {
+	t := &timer{at: c.now + d, f: f}
+	heap.Push(&c.timers, t)
+	return t
+}
+
+// stop drops a timer, so that what is over is not held in memory until its time comes.
+func (c *Core) stop(t *timer) {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&c.timers, t.index)
+	}
+}
+
+// ErrBusy is Submit's answer when too many transactions are open.
+var ErrBusy = errors.New("too many open transactions")
+
+// Submit hands over a transaction. From then on its Terminal is owed one answer, unless
+// Leave comes first.
+func (c *Core) Submit(tx *Transaction) error {
+	if int(c.open.Add(1)) > c.settings.MaxOpen && c.settings.MaxOpen > 0 {
+		c.open.Add(-1)
+		return ErrBusy
+	}
+	c.post(func() { c.begin(tx) })
+	return nil
+}
+
+func (c *Core) begin(tx *Transaction) {
+	c.nextJob++
+	tx.job, tx.end = c.nextJob, c.now+tx.Patience
+	c.jobs[tx.job] = tx
+	c.observer.Began(tx)
+	tx.guard = c.after(tx.Patience+overdue, func() {
+		if !tx.over {
+			c.log.Error("answer overdue", "id", tx.ID)
+			c.answer(tx, Answer{Verdict: Failed, Late: true, Reason: "deadline"})
+			c.balancer.Gone(c.now, tx.job)
+		}
+	})
+	c.balancer.Request(c.now, balance.Job{ID: tx.job, Class: tx.Class, Tenant: tx.Tenant, Key: tx.Key,
+		Patience: tx.Patience, Hint: tx.Hint, Slots: tx.Slots, Memory: tx.Memory})
+}
+
+// Leave takes word that the client is gone: no answer is owed any more.
+func (c *Core) Leave(tx *Transaction) {
+	c.post(func() {
+		if !tx.over {
+			c.close(tx)
+			c.observer.Left(tx)
+			c.balancer.Gone(c.now, tx.job)
+			c.forget(tx)
+		}
+	})
+}
+
+// answer gives the final answer, once.
+func (c *Core) answer(tx *Transaction, a Answer) {
+	if tx.over {
+		return
+	}
+	c.close(tx)
+	c.observer.Answered(tx, a)
+	tx.Terminal.Answer(a)
+	c.forget(tx)
+}
+
+func (c *Core) close(tx *Transaction) {
+	tx.over = true
+	c.stop(tx.guard)
+	c.open.Add(-1)
+}
+
+// forget drops a transaction that is over and has no routed task out.
+func (c *Core) forget(tx *Transaction) {
+	if tx.over && tx.out == 0 {
+		delete(c.jobs, tx.job)
+	}
+}
+
+// Started takes a region's word that it has begun with a routed task.
+func (c *Core) Started(t *Task) { c.note(t, balance.NoteStarted, 0) }
+
+// Progress takes a region's word on how much of a routed task it has done.
+func (c *Core) Progress(t *Task, share float64) { c.note(t, balance.NoteProgress, share) }
+
+func (c *Core) note(t *Task, kind balance.NoteKind, share float64) {
+	c.post(func() {
+		if !t.done {
+			c.balancer.Note(c.now, t.Transaction.job, t.No, kind, share)
+		}
+	})
+}
+
+// Ended takes the outcome of a routed task from its driver, which then holds nothing of
+// it any more. Only the first outcome counts; a later one just settles a cancelled task.
+func (c *Core) Ended(t *Task, s balance.Status, result []byte) {
+	c.post(func() {
+		if !t.settled {
+			t.settled = true
+			if t.withdrawn {
+				if t.Transaction.unsettled[t.Region.ID]--; t.Transaction.unsettled[t.Region.ID] <= 0 {
+					delete(t.Transaction.unsettled, t.Region.ID)
+				}
+			}
+		}
+		c.ended(t, s, result)
+	})
+}
+
+func (c *Core) ended(t *Task, s balance.Status, result []byte) {
+	if t.done { // late or repeated: exactly one outcome for each send
+		return
+	}
+	t.done = true
+	c.stop(t.limit)
+	tx := t.Transaction
+	tx.out--
+	c.active--
+	c.observer.Ended(t, s, c.now-t.sent)
+	if s == balance.StatusOK {
+		c.answer(tx, Answer{Verdict: Served, Result: result})
+	}
+	c.balancer.Outcome(c.now, balance.Result{Job: tx.job, Attempt: t.No, Worker: t.Region.ID, Status: s,
+		Elapsed: c.now - t.sent, Closed: tx.over, Report: balance.NoReport()})
+	c.forget(tx)
+}
+
+// withdraw asks the driver to give a task up and keeps later tasks of the transaction from
+// that region until it has.
+func (c *Core) withdraw(t *Task) {
+	if t.withdrawn || t.settled {
+		return
+	}
+	t.withdrawn = true
+	if t.Transaction.unsettled == nil {
+		t.Transaction.unsettled = map[balance.WorkerID]int{}
+	}
+	t.Transaction.unsettled[t.Region.ID]++
+	c.regions.Cancel(t)
+}
+
+// Listed takes word of the service table.
+func (c *Core) Listed(how balance.ListKind, list []Region) {
+	c.post(func() {
+		if how != balance.ListChange {
+			clear(c.members)
+		}
+		members := make([]balance.Member, len(list))
+		for i, r := range list {
+			members[i] = r.Member
+			if r.Condition == balance.Gone {
+				delete(c.members, r.ID)
+			} else {
+				c.members[r.ID] = r
+			}
+		}
+		all := make([]Region, 0, len(c.members))
+		for _, r := range c.members {
+			all = append(all, r)
+		}
+		c.regions.Listed(all)
+		c.balancer.Members(c.now, how, members)
+	})
+}
+
+// ListFailed takes word that an inquiry of the service table failed, or that the
+// subscription broke.
+func (c *Core) ListFailed() {
+	c.post(func() { c.balancer.Members(c.now, balance.ListFailed, nil) })
+}
+
+// host carries out what the balancer decides. It is apart from Core so that a Core's users
+// do not see these methods.
+type host struct{ *Core }
+
+func (h host) Send(job balance.JobID, to balance.WorkerID, timeout time.Duration) {
+	tx := h.jobs[job]
+	if tx == nil {
+		return
+	}
+	t := &Task{Transaction: tx, No: len(tx.tasks), sent: h.now, Wait: tx.end - h.now}
+	if timeout > 0 {
+		t.Wait = min(t.Wait, timeout)
+	}
+	tx.tasks = append(tx.tasks, t)
+	tx.out++
+	h.active++
+	region, known := h.members[to]
+	t.Region = region
+	t.Region.ID = to
+	// A region receives one attempt of a request at a time: while an earlier one there
+	// is not settled, none is sent.
+	if !known || tx.over || t.Wait <= 0 || len(tx.tasks) > h.settings.MaxAttempts || tx.unsettled[to] > 0 {
+		t.settled = true
+		h.deferred = append(h.deferred, func() { h.ended(t, balance.StatusMoot, nil) })
+		return
+	}
+	t.limit = h.after(t.Wait, func() {
+		if !t.done {
+			h.withdraw(t)
+			h.ended(t, balance.StatusTimeout, nil)
+		}
+	})
+	h.observer.Sent(t, tx.out)
+	h.regions.Start(t)
+}
+
+func (h host) Cancel(job balance.JobID, attempt int) {
+	tx := h.jobs[job]
+	if tx == nil || attempt < 0 || attempt >= len(tx.tasks) || tx.tasks[attempt].done {
+		return
+	}
+	t := tx.tasks[attempt]
+	h.withdraw(t)
+	h.stop(t.limit)
+	t.limit = h.after(cancelWaits*h.settings.ConnectTimeout, func() { h.ended(t, balance.StatusCancelled, nil) })
+}
+
+func (h host) Refuse(job balance.JobID, backoff time.Duration) {
+	if tx := h.jobs[job]; tx != nil {
+		h.answer(tx, Answer{Verdict: Refused, RetryAfter: backoff, Reason: "no region can serve it in time"})
+	}
+}
+
+func (h host) Fail(job balance.JobID) {
+	if tx := h.jobs[job]; tx != nil {
+		h.answer(tx, Answer{Verdict: Failed, Late: h.now >= tx.end-overdue, Reason: "not served, and it may have run"})
+	}
+}
+
+func (h host) Wake(after time.Duration, token uint64) {
+	h.after(after, func() { h.balancer.Timer(h.now, token) })
+}
+
+func (h host) Watch() { h.table.Watch() }
+func (h host) Fetch() { h.table.Fetch() }
+
+// Tell and Probe are for sites that allow messages between dispatchers or probes; the
+// fronts have neither, and the configuration turns both off.
+func (h host) Tell(to int, data []byte) { h.log.Debug("no way to tell", "to", to, "bytes", len(data)) }
+
+func (h host) Probe(w balance.WorkerID) {
+	h.deferred = append(h.deferred, func() {
+		h.balancer.Probed(h.now, w, balance.StatusMoot, 0, balance.NoReport())
+	})
+}
+
+func (h host) Log(text string) { h.log.Info("policy", "says", text) }
+
+// silent observes nothing.
+type silent struct{}
+
+func (silent) Began(*Transaction)                         {}
+func (silent) Sent(*Task, int)                            {}
+func (silent) Ended(*Task, balance.Status, time.Duration) {}
+func (silent) Answered(*Transaction, Answer)              {}
+func (silent) Left(*Transaction)                          {}
+
+// timer is something to do at an instant.
+type timer struct {
+	at    time.Duration
+	f     func()
+	index int // in the heap, -1 once out of it
+}
+
+type timers []*timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].index, t[j].index = i, j
+}
+func (t *timers) Push(x any) {
+	x.(*timer).index = len(*t)
+	*t = append(*t, x.(*timer))
+}
+func (t *timers) Pop() any {
+	last := (*t)[len(*t)-1]
+	(*t)[len(*t)-1] = nil
+	*t = (*t)[:len(*t)-1]
+	last.index = -1
+	return last
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,115 @@
+// Package dispatch is the embeddable core of the dispatcher. It deals in transactions
+// (requests), routed tasks (attempts) and their outcomes, and knows no wire: fronts hand
+// it transactions and are given one final answer for each, and drivers carry routed tasks
+// to regions (workers) and keep the service table.
+//
+// One goroutine, Core.Run, owns the balance.Balancer, the transactions, the routed tasks
+// and all timers. Every other goroutine speaks to it through the methods of Core, which
+// may block for a moment while the core is busy; the core itself never waits for anyone.
+package dispatch
+
+import (
+	"time"
+
+	"tinroute.example/tinroute/balance"
+)
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The verdicts. Only a Refused one tells the client that trying again is harmless.
+const (
+	Served Verdict = iota
+	Refused
+	Failed
+)
+
+func (v Verdict) String() string { return [...]string{"served", "refused", "failed"}[v] }
+
+// Answer is the one final answer of a transaction.
+type Answer struct {
+	Verdict    Verdict
+	Result     []byte        // Served: what the region gave
+	RetryAfter time.Duration // Refused: when to come back, 0 for no advice
+	Late       bool          // Failed: its time had run out
+	Reason     string        // not served: why, in a few words
+}
+
+// Terminal is the client's side of one transaction. Answer is called once at most, from
+// the core's goroutine, and must not block.
+type Terminal interface {
+	Answer(Answer)
+}
+
+// Transaction is one request as a front submits it. The exported fields are the front's
+// to set before Submit and no one's to change after.
+type Transaction struct {
+	ID       string // the client's name for it
+	Class    int
+	Tenant   int // -1 for none
+	Key      string
+	Patience time.Duration // until the client gives up
+	Hint     time.Duration // expected work, 0 for none
+	Slots    float64
+	Memory   float64
+	Payload  any // the front's own; drivers find it at each routed task
+	Terminal Terminal
+
+	job       balance.JobID
+	end       time.Duration
+	tasks     []*Task
+	out       int
+	over      bool
+	guard     *timer
+	unsettled map[balance.WorkerID]int
+}
+
+// Region is one entry of the service table.
+type Region struct {
+	balance.Member
+	Name string
+	Addr string
+}
+
+// Task is a routed task: one attempt of a transaction at one region.
+type Task struct {
+	Transaction *Transaction
+	No          int
+	Region      Region
+	Wait        time.Duration // how long the core will wait for it
+
+	sent      time.Duration
+	done      bool // its outcome has been given to the balancer
+	settled   bool // the driver holds nothing of it any more
+	withdrawn bool
+	limit     *timer
+}
+
+// Regions carries routed tasks. Its methods are called from the core's goroutine and must
+// not block. For each Start the driver calls Core.Ended; after Cancel it does so when the
+// region can no longer take the task up, with balance.StatusCancelled unless it learned of
+// another outcome, and never if it cannot find out. Until then the core sends the
+// transaction's later tasks elsewhere, and it keeps all time limits itself.
+type Regions interface {
+	Start(*Task)
+	Cancel(*Task)
+	// Listed tells which regions there are, whenever that changes.
+	Listed([]Region)
+}
+
+// ServiceTable is discovery. Watch subscribes to changes from now on; what was missed comes
+// first, by Core.Listed, and a failure by Core.ListFailed. Fetch asks for the whole list
+// once. Neither blocks.
+type ServiceTable interface {
+	Watch()
+	Fetch()
+}
+
+// Observer is told of what the core does, from the core's goroutine; it must not block.
+type Observer interface {
+	Began(tx *Transaction)
+	Sent(t *Task, copies int)
+	Ended(t *Task, s balance.Status, elapsed time.Duration)
+	Answered(tx *Transaction, a Answer)
+	Left(tx *Transaction)
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,134 @@
+// Package config is the one place where configuration is read, checked and given
+// defaults: the settings object that the simulator and the platform share, and the file
+// that a real dispatcher starts from. Its errors name the faulty key.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"tinroute.example/tinroute/balance"
+)
+
+// Defaults for what the file leaves out, and the floor below which a dispatcher cannot
+// work.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastSockets    = 64
+	defaultConnIdle = 15 * time.Second
+	defaultMaxOpen  = 20000
+)
+
+// Limits are what the machine allows the process.
+type Limits struct {
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+}
+
+// Config is everything that a dispatcher is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Limits    Limits
+	Known     []byte // the service table as last held, in discovery's form
+	Settings  *balance.Settings
+	Names     *Names
+}
+
+// Load reads the file that $LB_CONFIG names. The other variables win over the file's own
+// name and addresses, which repeat them.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return nil, errors.New("LB_CONFIG: not set")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	c, err := Parse(data)
+	if err != nil {
+		return nil, err
+	}
+	for _, v := range []struct {
+		name string
+		to   *string
+	}{{"LB_NAME", &c.Name}, {"LB_LISTEN", &c.Listen}, {"LB_DISCOVERY", &c.Discovery}} {
+		if x := getenv(v.name); x != "" {
+			*v.to = x
+		}
+	}
+	switch {
+	case c.Listen == "":
+		return nil, errors.New("listen: missing, and LB_LISTEN is not set")
+	case c.Discovery == "":
+		return nil, errors.New("discovery: missing, and LB_DISCOVERY is not set")
+	}
+	return c, nil
+}
+
+// Parse reads and checks the file's text.
+func Parse(data []byte) (*Config, error) {
+	v, err := fastjson.ParseBytes(data)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if v.Type() != fastjson.TypeObject {
+		return nil, errors.New("configuration: not an object")
+	}
+	f := &facts{}
+	c := &Config{Name: f.text(v, "name"), Listen: f.text(v, "listen"), Discovery: f.text(v, "discovery"),
+		Limits: Limits{Cores: f.number(v, 1, "limits", "cores"),
+			MemoryMB: int(f.number(v, defaultMemoryMB, "limits", "memory_mb")),
+			Sockets:  int(f.number(v, defaultSockets, "limits", "sockets"))}}
+	seed := f.text(v, "seed")
+	if f.err != nil {
+		return nil, f.err
+	}
+	switch {
+	case c.Limits.Cores <= 0:
+		return nil, fmt.Errorf("limits.cores: %v is not above 0", c.Limits.Cores)
+	case c.Limits.MemoryMB < 16:
+		return nil, fmt.Errorf("limits.memory_mb: %d is under 16", c.Limits.MemoryMB)
+	case c.Limits.Sockets < leastSockets:
+		return nil, fmt.Errorf("limits.sockets: %d is under %d", c.Limits.Sockets, leastSockets)
+	}
+	settings := v.Get("settings")
+	if settings == nil {
+		return nil, errors.New("settings: missing")
+	}
+	if c.Settings, c.Names, err = Settings(settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if seed != "" {
+		if c.Settings.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %q is not a number in base 16", seed)
+		}
+	}
+	if known := v.Get("known"); known != nil && known.Type() != fastjson.TypeNull {
+		if known.Type() != fastjson.TypeObject {
+			return nil, errors.New("known: not an object")
+		}
+		c.Known = known.MarshalTo(nil)
+	}
+	if c.Settings.ConnIdle <= 0 {
+		c.Settings.ConnIdle = defaultConnIdle
+	}
+	if c.Settings.MaxOpen <= 0 {
+		c.Settings.MaxOpen = defaultMaxOpen
+	}
+	if c.Settings.ConnectTimeout <= 0 {
+		return nil, errors.New("settings: limits.dial_timeout_s: not above 0")
+	}
+	// The protocol on sockets has neither probes nor messages between dispatchers.
+	c.Settings.Probes, c.Settings.Peers = false, false
+	return c, nil
+}
--- a/internal/wire/facts.go
+++ b/internal/config/settings.go
@@ -1,6 +1,7 @@
-package wire
+package config
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"time"
@@ -109,40 +110,33 @@
 		Group: group, Span: f.seconds(v, "memory_span_s"), Stream: f.flag(v, "stream"), Kind: -1}
 }
 
-func (d *Decoder) up() {
-	v := d.at(3)
+// Names maps configured names to the numbers that balance.Settings uses for them.
+type Names struct {
+	Class, Zone, Kind, Tenant map[string]int
+}
+
+// Settings reads the settings object: what the simulator sends in its first message and
+// what a real dispatcher finds in its configuration. The seed is not part of it.
+func Settings(v *fastjson.Value) (*balance.Settings, *Names, error) {
 	if v == nil || v.Type() != fastjson.TypeObject {
-		d.fail("facts", "not an object")
-		return
+		return nil, nil, errors.New("facts: not an object")
 	}
 	f := &facts{}
-	names := &Names{class: map[string]int{}, zone: f.names(v, "zones"), kind: f.names(v, "kinds"),
-		tenant: map[string]int{}}
+	n := &Names{Class: map[string]int{}, Zone: f.names(v, "zones"), Kind: f.names(v, "kinds"),
+		Tenant: map[string]int{}}
 	s := f.settings(v)
-	s.Seed = uint64(d.number(2, "random_seed", false))
-	if seed := d.at(2); seed != nil {
-		if exact, err := seed.Uint64(); err == nil {
-			s.Seed = exact
-		}
-	}
 	for i, c := range s.Classes {
-		names.class[c.Name] = i
+		n.Class[c.Name] = i
 	}
 	for i, t := range s.Tenants {
-		names.tenant[t.Name] = i
+		n.Tenant[t.Name] = i
 	}
-	zone, ok := names.zone[f.text(v, "zone")]
+	zone, ok := n.Zone[f.text(v, "zone")]
 	if !ok {
 		zone = -1
 	}
-	s.Zone, s.Kinds = zone, len(names.kind)
-	if d.err == nil {
-		d.err = f.err
-	}
-	if d.err == nil {
-		d.names[d.event.Inst] = names
-		d.event.Settings, d.event.Names = s, names
-	}
+	s.Zone, s.Kinds = zone, len(n.Kind)
+	return s, n, f.err
 }
 
 func (f *facts) settings(v *fastjson.Value) *balance.Settings {
@@ -158,6 +152,8 @@
 		TellsStart: f.flag(v, "domain", "tells_start"), Progress: f.seconds(v, "domain", "progress_s"),
 		NoWeights: f.text(v, "weights") == "silent", OverShare: f.number(v, 1, "over_share_worth"),
 		CrossPrice: f.number(v, 0, "prices", "cross_zone"), WorkWorth: f.text(v, "counted_by") == "work",
+		MaxRetryAfter: f.seconds(v, "limits", "max_retry_after_s"), ConnIdle: f.seconds(v, "limits", "conn_idle_s"),
+		MaxOpen:   int(f.number(v, 0, "limits", "max_open")),
 		GoalWhole: f.number(v, 0, "goal", "whole"), GoalWorstClass: f.number(v, 0, "goal", "worst_class"),
 	}
 	for _, c := range f.list(v, "classes") {
--- /dev/null
+++ b/internal/platform/table.go
@@ -0,0 +1,197 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"tinroute.example/tinroute/balance"
+	"tinroute.example/tinroute/dispatch"
+	"tinroute.example/tinroute/internal/config"
+)
+
+const (
+	watchWait = 20 * time.Second // how long a watch may hold
+	tableWait = 2500 * time.Millisecond
+)
+
+// Table keeps the service table by asking discovery. It implements dispatch.ServiceTable.
+//
+// A subscription is a chain of calls. The first does not wait, so that the balancer has
+// its answer at once; each next one follows the last answer without a pause, since a watch
+// is only continued within 200 ms.
+type Table struct {
+	core  *dispatch.Core
+	log   *slog.Logger
+	names *config.Names
+	dial  Dial
+	addr  string
+	ask   chan bool // true to watch, false to fetch
+
+	version int64
+	conn    net.Conn
+	framer  *Framer
+}
+
+// NewTable returns a table that asks at the address once it runs.
+func NewTable(core *dispatch.Core, log *slog.Logger, names *config.Names, dial Dial, addr string) *Table {
+	return &Table{core: core, log: log, names: names, dial: dial, addr: addr, ask: make(chan bool, 2)}
+}
+
+// Watch subscribes to changes.
+func (t *Table) Watch() { t.request(true) }
+
+// Fetch asks for the whole list.
+func (t *Table) Fetch() { t.request(false) }
+
+func (t *Table) request(watch bool) {
+	select {
+	case t.ask <- watch:
+	default: // two calls wait already
+	}
+}
+
+// Start begins with the list as last held.
+func (t *Table) Start(known []byte) error {
+	if len(known) == 0 {
+		return nil
+	}
+	_, list, err := t.read(known)
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	t.core.Listed(balance.ListCached, list)
+	return nil
+}
+
+// Run asks until the context ends.
+func (t *Table) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case watch := <-t.ask:
+			for wait := time.Duration(0); ; wait = watchWait {
+				full, list, err := t.inquire(ctx, watch, wait)
+				if ctx.Err() != nil {
+					return
+				}
+				if err != nil {
+					t.log.Warn("service table unreachable", "err", err)
+					t.core.ListFailed()
+					break
+				}
+				how := balance.ListChange
+				if full {
+					how = balance.ListFull
+				}
+				if full || len(list) > 0 || wait == 0 {
+					t.log.Info("service table", "version", t.version, "full", full, "entries", len(list))
+					t.core.Listed(how, list)
+				}
+				if !watch {
+					break
+				}
+			}
+		}
+	}
+}
+
+// inquire makes one call. A connection kept from an earlier call may have been closed in
+// the meantime: an inquiry repeats harmlessly, so it is made again on a new one.
+func (t *Table) inquire(ctx context.Context, watch bool, wait time.Duration) (bool, []dispatch.Region, error) {
+	path := pathTable
+	if watch {
+		path += "?after=" + strconv.FormatInt(t.version, 10) + "&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	}
+	kept := t.conn != nil
+	m, err := t.call(ctx, path, wait+tableWait)
+	if err != nil && kept && wait == 0 && ctx.Err() == nil {
+		m, err = t.call(ctx, path, tableWait)
+	}
+	if err != nil {
+		return false, nil, err
+	}
+	if m.Response.StatusCode != 200 {
+		return false, nil, fmt.Errorf("status %d", m.Response.StatusCode)
+	}
+	return t.read(m.Body)
+}
+
+func (t *Table) call(ctx context.Context, path string, within time.Duration) (m *Message, err error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	if t.conn == nil {
+		if t.conn, err = t.dial(ctx, "tcp", t.addr); err != nil {
+			t.conn = nil
+			return nil, err
+		}
+		t.framer = NewResponseFramer()
+		t.framer.Expect("GET")
+	}
+	conn := t.conn
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	defer func() {
+		if err != nil || m.Close {
+			_ = conn.Close()
+			t.conn = nil
+		}
+	}()
+	if _, err = conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + t.addr + "\r\n\r\n")); err != nil {
+		return nil, err
+	}
+	buf := make([]byte, 4<<10)
+	for {
+		n, rerr := conn.Read(buf)
+		t.framer.Feed(buf[:n])
+		if m, err = t.framer.Next(); m != nil || err != nil {
+			return m, err
+		}
+		if rerr != nil {
+			if m, err = t.framer.End(); m == nil && err == nil {
+				err = rerr
+			}
+			return m, err
+		}
+	}
+}
+
+var conditions = map[string]balance.Condition{"SERVING": balance.Serving, "DRAINING": balance.Draining,
+	"DELETED": balance.Gone}
+
+// read reads a list in discovery's form and notes its version.
+func (t *Table) read(data []byte) (full bool, list []dispatch.Region, err error) {
+	v, err := fastjson.ParseBytes(data)
+	if err != nil {
+		return false, nil, err
+	}
+	if v.Get("version") == nil {
+		return false, nil, errors.New("version: missing")
+	}
+	for _, e := range v.GetArray("servers") {
+		name, state := string(e.GetStringBytes("id")), string(e.GetStringBytes("state"))
+		condition, ok := conditions[state]
+		if name == "" || !ok {
+			return false, nil, fmt.Errorf("servers: id %.40q, state %.40q", name, state)
+		}
+		list = append(list, dispatch.Region{Name: name, Addr: string(e.GetStringBytes("addr")), Member: balance.Member{
+			ID: dispatch.RegionID(name), Condition: condition, Weight: e.GetFloat64("weight"),
+			Kind: named(t.names.Kind, e.GetStringBytes("kind")), Zone: named(t.names.Zone, e.GetStringBytes("zone")),
+			Cell: e.GetInt("cell"), Started: time.Duration(e.GetFloat64("started_ms") * 1e6)}})
+	}
+	t.version = v.GetInt64("version")
+	return v.GetBool("full"), list, nil
+}
+
+func named(m map[string]int, name []byte) int {
+	if i, ok := m[string(name)]; ok {
+		return i
+	}
+	return -1
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fastjson"
 
 	"tinroute.example/tinroute/balance"
+	"tinroute.example/tinroute/internal/config"
 )
 
 // Kind is the name of an input message.
@@ -46,7 +47,7 @@
 	HasInst  bool
 	Now      time.Duration
 	Settings *balance.Settings
-	Names    *Names
+	Names    *config.Names
 	List     balance.ListKind
 	Members  []balance.Member
 	Job      balance.Job
@@ -58,25 +59,19 @@
 	Data     []byte
 }
 
-// Names maps an instance's configured names to the numbers the module uses.
-type Names struct {
-	class, zone, kind, tenant map[string]int
-	memory                    bool
-}
-
 // Decoder decodes lines, reusing its memory: an Event is valid until the next
 // call.
 type Decoder struct {
 	parser fastjson.Parser
 	event  Event
-	names  map[int64]*Names
+	names  map[int64]*config.Names
 	fields []*fastjson.Value
 	what   string
 	err    error
 }
 
 // NewDecoder returns a decoder that knows no instance yet.
-func NewDecoder() *Decoder { return &Decoder{names: map[int64]*Names{}} }
+func NewDecoder() *Decoder { return &Decoder{names: map[int64]*config.Names{}} }
 
 // Decode reads one line. On an error the event still carries the instance where
 // the line named one.
@@ -155,14 +150,37 @@
 	}
 }
 
+func (d *Decoder) up() {
+	s, names, err := config.Settings(d.at(3))
+	if d.err == nil {
+		d.err = err
+	}
+	if d.err != nil {
+		if err != nil && s == nil {
+			d.err = fmt.Errorf("%s: %w", d.what, err)
+		}
+		return
+	}
+	s.Seed = uint64(d.number(2, "random_seed", false))
+	if seed := d.at(2); seed != nil {
+		if exact, err := seed.Uint64(); err == nil {
+			s.Seed = exact
+		}
+	}
+	if d.err == nil {
+		d.names[d.event.Inst] = names
+		d.event.Settings, d.event.Names = s, names
+	}
+}
+
 func (d *Decoder) request() {
 	e, n := &d.event, d.names[d.event.Inst]
 	if n == nil {
 		d.fail("dispatcher_id", "not up")
 		return
 	}
-	e.Job = balance.Job{ID: balance.JobID(d.whole(2, "ticket")), Class: d.name(3, "band", n.class, true),
-		Tenant: d.name(4, "tenant", n.tenant, false), Key: string(d.text(5, "subject", false)),
+	e.Job = balance.Job{ID: balance.JobID(d.whole(2, "ticket")), Class: d.name(3, "band", n.Class, true),
+		Tenant: d.name(4, "tenant", n.Tenant, false), Key: string(d.text(5, "subject", false)),
 		Patience: d.seconds(6, "patience_left_s", true), Slots: d.number(8, "slots", false),
 		Memory: d.number(9, "mem", false)}
 	if int(d.number(10, "attrs", false))&1 != 0 {
@@ -275,9 +293,9 @@
 			d.fail("condition", fmt.Sprintf("unknown value %q", text))
 		}
 		e.Members = append(e.Members, balance.Member{Condition: c, Weight: d.number(1, "heft", false),
-			Kind: d.name(2, "family_type", n.kind, false), ID: balance.WorkerID(d.whole(3, "runner")),
+			Kind: d.name(2, "family_type", n.Kind, false), ID: balance.WorkerID(d.whole(3, "runner")),
 			Cell: int(d.number(4, "cohort", false)), Started: d.seconds(5, "ready_at_s", false),
-			Zone: d.name(6, "zone", n.zone, false)})
+			Zone: d.name(6, "zone", n.Zone, false)})
 	}
 	d.fields = outer
 }
