Refuse shed work at once with a Retry-After instead of setting it aside

Ruled out: a fixed Retry-After, which brings clients back together. Lines at fault: park() and the second drain() in balance.go, Refuse(j.ID, 0) in answer().

What may have run is not shed, as its client could not be told to come back. parked, spare() and drain's second queue are gone.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,6 +26,8 @@
 	hopeless   = 0.05                   // a chance of being in time that is not worth a slot
 	crossing   = 5                      // a faster run is seldom what makes an answer timely; see pick
 	fair       = 0.75                   // a chance below which the queue counts as too long
+	bearable   = 0.9                    // of a predicted wait counts: hints are rough, and some of the queue will leave it
+	leastBack  = 50 * time.Millisecond  // a client sent away is told to stay away for as long at least
 	margin     = time.Millisecond       // answers of our own leave this long before patience ends
 )
 
@@ -308,7 +310,7 @@
 	}
 	unseen := j.out == 0 && j.firstRan() == nil // no effect so far, and none to come
 	if unseen || j.c.Effect == Safe || j.c.Effect == Keyed && j.c.Group == GroupAll {
-		b.host.Refuse(j.ID, 0)
+		b.host.Refuse(j.ID, min(max(b.comeBack, leastBack), b.s.MaxRetryAfter))
 	} else {
 		b.host.Fail(j.ID)
 	}
@@ -534,28 +536,22 @@
 	b.watchStarts()
 	for b.copyOverdue() {
 	}
-	b.drain(&b.queue, true)
-	if len(b.queue) > 0 {
-		if b.now >= b.queue[0].hold {
-			b.park()
-		}
-	} else if b.spare() {
-		// Only spare room: a backlog of late work would keep the fleet full, and so
-		// make fresh work late long after a surge has passed.
-		b.drain(&b.parked, false)
+	b.drain()
+	if len(b.queue) > 0 && b.now >= b.queue[0].hold {
+		b.shed()
 	}
 	b.tellPeers()
 	b.arm()
 }
 
-// expire answers queued jobs whose patience or aim has run out.
+// expire answers queued jobs whose patience has run out.
 func (b *Balancer) expire() {
 	if b.askAgain > 0 && b.now >= b.askAgain {
 		b.ask()
 	}
 	if b.now >= b.nextEnd {
 		b.nextEnd = math.MaxInt64
-		for _, j := range append(slices.Clone(b.queue), b.parked...) {
+		for _, j := range slices.Clone(b.queue) {
 			if b.now >= j.end-margin {
 				b.log("unserved", "job %d not served: its client's patience is over", j.ID)
 				b.answer(j)
@@ -566,10 +562,12 @@
 	}
 }
 
-// park sets aside the work of least worth while the queue is longer than it can
-// bear: first-come order under overload would serve every job just too late.
-// Parked jobs keep their order and go when no other waits.
-func (b *Balancer) park() {
+// shed gives up the work of least worth while the queue is longer than it can bear:
+// first-come order under overload would serve every job just too late. What is given up
+// is answered at once, with the time that the queue ahead of it takes as the time to come
+// back: held for its client's patience it would keep a terminal waiting for nothing. A job
+// that may have run stays, since its client could not be told to come back.
+func (b *Balancer) shed() {
 	slots := 1.0
 	for _, w := range b.workers {
 		slots += w.used
@@ -577,20 +575,22 @@
 	ahead := 0.0
 	for k := 0; k < len(b.queue); k++ {
 		j := b.queue[k]
-		if b.chance(j, ahead*b.pace/slots) >= fair {
+		wait := ahead * b.pace / slots
+		if b.chance(j, bearable*wait) >= fair || j.firstRan() != nil {
 			ahead += b.sizeOf(j)
 			continue
 		}
 		victim, least := k, b.density(j, 0)
 		for i, o := range b.queue[:k] {
-			if d := b.density(o, 0); d < least {
+			if d := b.density(o, 0); d < least && o.firstRan() == nil {
 				victim, least = i, d
 			}
 		}
 		o := b.queue[victim]
-		b.queue = slices.Delete(b.queue, victim, victim+1)
-		b.parked = append(b.parked, o)
-		b.log("shed", "job %d set aside: the queue is too long; set aside now: %d", o.ID, len(b.parked))
+		b.log("shed", "job %d given up: the queue is too long by %.2f s", o.ID, wait)
+		b.comeBack = seconds(wait)
+		b.answer(o)
+		b.comeBack = 0
 		k--
 		if victim <= k {
 			ahead -= b.sizeOf(o)
@@ -754,11 +754,11 @@
 	}
 }
 
-// drain sends a queue's heads while there is room.
-func (b *Balancer) drain(queue *[]*job, try bool) {
+// drain sends the queue's heads while there is room.
+func (b *Balancer) drain() {
 	b.kept = b.kept[:0]
-	for i := 0; i < min(len(*queue), lookahead); {
-		j := (*queue)[i]
+	for i := 0; i < min(len(b.queue), lookahead); {
+		j := b.queue[i]
 		if j.c.LateWorth == 0 && b.chance(j, 0) < hopeless {
 			// Work that can no longer be in time would make the next late too.
 			b.log("hopeless", "job %d refused: it can no longer be in time", j.ID)
@@ -766,7 +766,7 @@
 			continue
 		}
 		w := b.pick(j, false)
-		if w == nil && try && b.now >= b.nextTry && b.now >= j.hold {
+		if w == nil && b.now >= b.nextTry && b.now >= j.hold {
 			w = b.pick(j, true)
 		}
 		if w == nil {
@@ -781,12 +781,9 @@
 			i++
 			continue
 		}
-		*queue = slices.Delete(*queue, i, i+1)
+		b.queue = slices.Delete(b.queue, i, i+1)
 		j.queued = false
 		b.send(j, w)
-		if !try && !b.spare() {
-			return
-		}
 	}
 }
 
@@ -871,7 +868,7 @@
 			soon(b.now + seconds(b.meanRun()/8))
 		}
 	}
-	if len(b.queue)+len(b.parked) > 0 {
+	if len(b.queue) > 0 {
 		soon(b.now + seconds(b.meanRun()/8))
 		soon(b.nextTry)
 		if !b.crowd {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -12,17 +12,18 @@
 // recorder is a Host that keeps what it is told and numbers attempts as the
 // contract says.
 type recorder struct {
-	actions []string
-	sends   []sent
-	cancels []attemptKey
-	answers map[JobID]string
-	tries   map[JobID]int
-	wake    time.Duration
-	token   uint64
-	told    [][]byte
-	probes  []WorkerID
-	watches int
-	logs    []string
+	actions  []string
+	sends    []sent
+	cancels  []attemptKey
+	backoffs map[JobID]time.Duration
+	answers  map[JobID]string
+	tries    map[JobID]int
+	wake     time.Duration
+	token    uint64
+	told     [][]byte
+	probes   []WorkerID
+	watches  int
+	logs     []string
 }
 
 type sent struct {
@@ -37,7 +38,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{answers: map[JobID]string{}, tries: map[JobID]int{}}
+	return &recorder{answers: map[JobID]string{}, backoffs: map[JobID]time.Duration{}, tries: map[JobID]int{}}
 }
 
 func (r *recorder) act(format string, args ...any) {
@@ -57,6 +58,7 @@
 
 func (r *recorder) Refuse(j JobID, d time.Duration) {
 	r.answers[j] += "refused"
+	r.backoffs[j] = d
 	r.act("refuse %d %v", j, d)
 }
 
--- a/balance/danger_test.go
+++ b/balance/danger_test.go
@@ -149,49 +149,42 @@
 	}
 }
 
-// A backlog of late work kept the fleet full and made fresh work late long after a
-// surge: it takes spare room only.
-func TestParkedWorkTakesOnlySpareRoom(t *testing.T) {
-	b, r := fixture(t, settings(), 4)
-	late := &job{Job: Job{ID: 1, Slots: 1}, c: &b.classes[safe], queued: true, born: time.Second,
-		end: 9 * time.Second}
-	b.jobs[1], b.parked = late, []*job{late}
-	for i := range 3 {
-		b.workers[i].used = 1
-	}
-	b.now = time.Second
-	b.schedule()
-	if r.sentTo(1) != 0 {
-		t.Fatal("parked work took the last free worker")
-	}
-	for _, w := range b.workers {
-		w.used = 0
-	}
-	b.schedule()
-	if r.sentTo(1) != 1 {
-		t.Fatal("parked work did not go into an idle fleet")
-	}
-}
-
-// A job of much worth behind light work once parked itself, as it was compared at
-// its predicted wait.
-func TestLightWorkIsParkedForDenseWork(t *testing.T) {
+// Work that the queue could not bear was held for its client's whole patience, so that the
+// terminal waited for nothing. It is given up by least worth, refused at once, and told
+// when to come back; the densest job, once given up for its own predicted wait, stays.
+func TestWhatIsGivenUpIsRefusedAtOnce(t *testing.T) {
 	s := settings()
 	s.Classes[unsafe].Worth = 50
+	s.MaxRetryAfter = 2 * time.Second
 	b, r := fixture(t, s, 0)
-	_ = r
 	for i := range 6 {
 		b.Request(time.Second, Job{ID: JobID(i + 1), Class: safe, Patience: 8 * time.Second, Slots: 1,
 			Hint: time.Second})
 	}
 	b.Request(time.Second, Job{ID: 7, Class: unsafe, Patience: 8 * time.Second, Slots: 1, Hint: 500 * ms})
-	for _, j := range b.parked {
-		if j.ID == 7 {
-			t.Fatal("the densest job was parked")
+	if len(r.answers) == 0 || r.answers[7] != "" {
+		t.Fatalf("answers %v", r.answers)
+	}
+	for id, a := range r.answers {
+		if a != "refused" || r.backoffs[id] < leastBack || r.backoffs[id] > s.MaxRetryAfter {
+			t.Fatalf("job %d %s, back in %v", id, a, r.backoffs[id])
+		}
+	}
+}
+
+// A job that may have run cannot be told to come back: it is not given up for the queue's
+// length.
+func TestWhatMayHaveRunIsNotShed(t *testing.T) {
+	b, r := fixture(t, settings(), 0)
+	for i := range 8 {
+		b.Request(time.Second, Job{ID: JobID(i + 1), Class: unsafe, Patience: 8 * time.Second, Slots: 1,
+			Hint: time.Second})
+		if j := b.jobs[JobID(i+1)]; j != nil && i == 0 {
+			j.attempts = []*attempt{{j: j, w: &worker{}, done: true, ran: true}}
 		}
 	}
-	if len(b.parked) == 0 {
-		t.Fatal("nothing was parked: the test shows nothing")
+	if len(r.answers) == 0 || r.answers[1] != "" {
+		t.Fatalf("answers %v", r.answers)
 	}
 }
 
@@ -226,13 +219,13 @@
 	pass(b, r, 1200*ms, 4*time.Second)
 	lines := map[string]int{}
 	for _, l := range r.logs {
-		for _, why := range []string{"set aside", "no longer be in time"} {
+		for _, why := range []string{"given up", "no longer be in time"} {
 			if strings.Contains(l, why) {
 				lines[why]++
 			}
 		}
 	}
-	if len(lines) != 2 || lines["set aside"] > 4 || lines["no longer be in time"] > 4 {
+	if len(lines) != 2 || lines["given up"] > 4 || lines["no longer be in time"] > 4 {
 		t.Fatalf("lines %v of %d", lines, len(r.logs))
 	}
 }
@@ -297,6 +290,7 @@
 func TestWorkBeyondAQuotaIsWorthLess(t *testing.T) {
 	s := settings()
 	s.Tenants, s.OverShare = []Tenant{{Name: "a", Quota: 1}}, 0.1
+	s.Classes[safe].Aim = time.Hour // or the queue would be too long for some
 	b, _ := fixture(t, s, 0)
 	var worths []float64
 	for i := range 4 {
@@ -791,7 +785,7 @@
 }
 
 // Late starts close the window on jobs that wait in workers' queues, or an overload would
-// stand there, out of reach of parking.
+// stand there, out of reach of shedding.
 func TestLateStartsCloseTheWindow(t *testing.T) {
 	b, r := crowdFixture(t, 8)
 	b.pace = 1.5
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -310,21 +310,6 @@
 	return b.estimate(w) - w.used - max(w.others, w.peerHeld)
 }
 
-// spare tells whether more room is known than fresh work will soon want.
-func (b *Balancer) spare() bool {
-	if b.crowd {
-		return b.window >= 1 && slices.ContainsFunc(b.groups, func(g *group) bool { return g.usual > 0.5 })
-	}
-	free, used := 0.0, 0.0
-	for _, w := range b.workers {
-		if b.open(w) {
-			free += max(0, b.room(w))
-		}
-		used += w.used
-	}
-	return free > 1+used/8
-}
-
 // meanRun is the mean run of a job over the classes seen, in seconds.
 func (b *Balancer) meanRun() float64 {
 	sum, n := 0.0, 0.0
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -118,7 +118,7 @@
 			w.setPeer(from, data[4])
 		}
 	}
-	if len(b.queue)+len(b.parked)+len(b.starting) > 0 || b.beatAt <= now {
+	if len(b.queue)+len(b.starting) > 0 || b.beatAt <= now {
 		b.schedule()
 	}
 }
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -293,9 +293,9 @@
 			r.fatal("job %d never answered", id)
 		}
 	}
-	if len(b.jobs) != 0 || len(b.queue)+len(b.parked)+len(b.running)+len(b.starting) != 0 {
-		r.fatal("left over: %d jobs, %d queued, %d parked, %d running, %d starting", len(b.jobs), len(b.queue),
-			len(b.parked), len(b.running), len(b.starting))
+	if len(b.jobs) != 0 || len(b.queue)+len(b.running)+len(b.starting) != 0 {
+		r.fatal("left over: %d jobs, %d queued, %d running, %d starting", len(b.jobs), len(b.queue),
+			len(b.running), len(b.starting))
 	}
 	for _, w := range b.workers {
 		if w.used != 0 || w.running != 0 || w.waiting != 0 || w.usedMem != 0 {
--- a/balance/state.go
+++ b/balance/state.go
@@ -139,7 +139,6 @@
 	workers       []*worker // in order of first mention, so that nothing hangs on map order
 	jobs          map[JobID]*job
 	queue         []*job
-	parked        []*job  // see park
 	pace          float64 // smoothed slowness of the whole fleet
 	running       []*job
 	starting      []*attempt // out, and not told to have started
@@ -179,6 +178,7 @@
 	groups        []*group
 	trust         [signs]float64 // smoothed share of sends by a sign that find a free slot
 	chosen        []*worker
+	comeBack      time.Duration // what a refusal advises, 0 for the least
 	logged        map[string]time.Duration
 }
 
@@ -365,7 +365,7 @@
 	if j.queued {
 		j.queued = false
 		gone := func(o *job) bool { return o == j }
-		b.queue, b.parked = slices.DeleteFunc(b.queue, gone), slices.DeleteFunc(b.parked, gone)
+		b.queue = slices.DeleteFunc(b.queue, gone)
 	}
 	b.unlist(j)
 	b.cancelOthers(j, nil)
