--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,8 +26,8 @@
 	hopeless   = 0.05                   // a chance of being in time that is not worth a slot
 	crossing   = 5                      // a faster run is seldom what makes an answer timely; see pick
 	fair       = 0.75                   // a chance below which the queue counts as too long
-	bearable   = 0.9                    // of a predicted wait counts: hints are rough, and some of the queue will leave it
-	leastBack  = 50 * time.Millisecond  // a client sent away is told to stay away for as long at least
+	bearable   = 0.9                    // of a predicted wait counts: some of the queue will leave it
+	leastBack  = 50 * time.Millisecond  // a client sent away stays away this long at least
 	margin     = time.Millisecond       // answers of our own leave this long before patience ends
 )
 
