Move what fronts share about connections into internal/link

Saw: the read loop, the accepting server with its drain and the region pool know nothing of HTTP, and a second front needs all three.

Conclusion: no behaviour meant to change; closing and draining are as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,7 +38,7 @@
 	regions := platform.NewRegions(core, log, dialer.DialContext, sockets-terminals)
 	table := platform.NewTable(core, log, c.Names, dialer.DialContext, c.Discovery)
 	core.Connect(regions, table)
-	server := platform.NewServer(core, regions, log, c, terminals)
+	server := platform.NewServer(core, regions, log, c.Names, terminals)
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -50,10 +50,9 @@
 		return err
 	}
 	go table.Run(inner)
-	go regions.Sweep(inner)
+	go regions.Run(inner)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
-	server.SetReady(true)
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "discovery", c.Discovery, "terminals", terminals,
 		"connections", sockets-terminals)
 
--- /dev/null
+++ b/internal/link/pool.go
@@ -0,0 +1,189 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"time"
+)
+
+// idleShare is the share of the time after which a region closes an idle connection at
+// which we close ours: a request that crosses the region's close ends as a reset.
+const idleShare = 0.6
+
+// ErrFull is Get's answer when all connections that the pool may hold are in use. Nothing
+// has been sent then.
+var ErrFull = errors.New("too many open connections")
+
+// Pool keeps connections to regions, by address. One message exchange at a time travels on
+// a connection: Get takes it out of the pool and Put brings it back.
+type Pool[M any] struct {
+	dial    Dial
+	framer  func() Framer[M]
+	connect time.Duration
+	idleFor time.Duration
+	most    int
+
+	mu     sync.Mutex
+	idle   []*Conn[M] // the longest idle first
+	open   int
+	closed bool
+}
+
+// Conn is one connection to a region. Its reader stays on it while it is idle too, so that
+// the region's close is seen before the next request is written.
+type Conn[M any] struct {
+	net.Conn
+	In <-chan *M // what the region sends; closed at the connection's end
+
+	pool  *Pool[M]
+	addr  string
+	since time.Time // idle since
+	inUse bool      // guarded by Pool.mu, as is ended
+	ended bool
+	once  sync.Once
+	done  chan struct{}
+}
+
+// NewPool returns a pool that opens connections within a time, closes them well before the
+// regions do, and holds at most so many.
+func NewPool[M any](dial Dial, framer func() Framer[M], connect, regionsIdle time.Duration, most int) *Pool[M] {
+	return &Pool[M]{dial: dial, framer: framer, connect: connect, most: most,
+		idleFor: time.Duration(idleShare * float64(regionsIdle))}
+}
+
+// Get returns an idle connection, the one used last, or opens one. At the limit the
+// connection that has been idle longest makes room.
+func (p *Pool[M]) Get(ctx context.Context, addr string) (*Conn[M], error) {
+	p.mu.Lock()
+	for i, c := range slices.Backward(p.idle) {
+		if c.addr == addr && time.Since(c.since) < p.idleFor {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			c.inUse = true
+			p.mu.Unlock()
+			return c, nil
+		}
+	}
+	if p.open >= p.most {
+		if len(p.idle) == 0 {
+			p.mu.Unlock()
+			return nil, ErrFull
+		}
+		_ = p.idle[0].Close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
+	p.open++
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, p.connect)
+	defer cancel()
+	nc, err := p.dial(ctx, "tcp", addr)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	in := make(chan *M, 4)
+	c := &Conn[M]{Conn: nc, In: in, pool: p, addr: addr, inUse: true, done: make(chan struct{})}
+	go c.read(in)
+	return c, nil
+}
+
+// Put makes a connection idle again.
+func (p *Pool[M]) Put(c *Conn[M]) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.ended || p.closed {
+		_ = c.Close()
+		return
+	}
+	c.inUse, c.since = false, time.Now()
+	p.idle = append(p.idle, c)
+}
+
+func (c *Conn[M]) read(in chan<- *M) {
+	defer close(in)
+	defer func() {
+		_ = c.Close()
+		p := c.pool
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		c.ended = true
+		p.open--
+		if i := slices.Index(p.idle, c); i >= 0 {
+			p.idle = slices.Delete(p.idle, i, i+1)
+		}
+	}()
+	_ = Read(c.Conn, c.pool.framer(), func(m *M) bool {
+		c.pool.mu.Lock()
+		wanted := c.inUse
+		c.pool.mu.Unlock()
+		if !wanted { // it answers nothing: whatever follows could be taken for an answer
+			return false
+		}
+		select {
+		case in <- m:
+			return true
+		case <-c.done:
+			return false
+		}
+	})
+}
+
+// Close ends the connection.
+func (c *Conn[M]) Close() error {
+	c.once.Do(func() { close(c.done) })
+	return c.Conn.Close()
+}
+
+// Receive waits for the next message.
+func (c *Conn[M]) Receive(ctx context.Context) (*M, error) {
+	select {
+	case m, ok := <-c.In:
+		if !ok {
+			return nil, io.EOF
+		}
+		return m, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Forget closes idle connections to addresses that are not listed any more.
+func (p *Pool[M]) Forget(listed map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		if !listed[c.addr] {
+			_ = c.Close() // its reader takes it out of the pool
+		}
+	}
+}
+
+// Sweep closes connections that have been idle for long, and all idle ones when the
+// context ends.
+func (p *Pool[M]) Sweep(ctx context.Context) {
+	tick := time.NewTicker(max(p.idleFor/8, time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			p.mu.Lock()
+			p.closed = true
+			p.mu.Unlock()
+			p.Forget(nil)
+			return
+		}
+		p.mu.Lock()
+		for _, c := range p.idle {
+			if time.Since(c.since) >= p.idleFor {
+				_ = c.Close()
+			}
+		}
+		p.mu.Unlock()
+	}
+}
--- a/internal/platform/codec.go
+++ b/internal/platform/codec.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"tinroute.example/tinroute/internal/link"
 )
 
 // The largest head and body that are read.
@@ -39,7 +41,6 @@
 // stops in the middle of one holds up nothing but its own connection.
 type Framer struct {
 	responses bool
-	method    string // of the request that the next response answers
 	buf       []byte
 	head      int // length of the head once it is whole
 	scanned   int
@@ -52,10 +53,9 @@
 func NewRequestFramer() *Framer { return &Framer{reader: bufio.NewReader(nil)} }
 
 // NewResponseFramer frames what a server sends.
-func NewResponseFramer() *Framer { return &Framer{responses: true, reader: bufio.NewReader(nil)} }
-
-// Expect tells the method of the request that the next response answers.
-func (f *Framer) Expect(method string) { f.method = method }
+func NewResponseFramer() link.Framer[Message] {
+	return &Framer{responses: true, reader: bufio.NewReader(nil)}
+}
 
 // Feed adds bytes as they were read.
 func (f *Framer) Feed(p []byte) { f.buf = append(f.buf, p...) }
@@ -150,7 +150,7 @@
 	f.reader.Reset(bytes.NewReader(head))
 	var encoding []string
 	if f.responses {
-		r, err := http.ReadResponse(f.reader, &http.Request{Method: f.method})
+		r, err := http.ReadResponse(f.reader, nil)
 		if err != nil {
 			return fmt.Errorf("malformed response: %w", err)
 		}
@@ -219,7 +219,7 @@
 	f.reader.Reset(bytes.NewReader(f.buf[:f.head+at]))
 	var body io.ReadCloser
 	if f.responses {
-		r, err := http.ReadResponse(f.reader, &http.Request{Method: f.method})
+		r, err := http.ReadResponse(f.reader, nil)
 		if err != nil {
 			return nil, fmt.Errorf("malformed response: %w", err)
 		}
--- a/internal/platform/regions.go
+++ b/internal/platform/regions.go
@@ -3,462 +3,258 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
+	"tinroute.example/tinroute/internal/link"
 )
 
 const (
-	// A region closes what has been idle for conn_idle_s, and a request that crosses the
-	// close ends as a reset: ours are closed at this share of that time.
-	idleShare = 0.6
 	// A cancel that comes between a request's last byte and its 202 waits this long for
 	// the 202, then closes the connection: were it closed at once, a region that had just
 	// sent its 202 would go on with a job that no one waits for.
 	takenWait = 60 * time.Millisecond
 	// How long a DELETE may take, its connection included.
 	deleteWait = 2 * time.Second
-	writeWait  = 5 * time.Second
 )
 
-// Dial opens a connection; net.Dialer.DialContext is one.
-type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // Regions carries routed tasks to regions over HTTP. It implements dispatch.Regions.
 type Regions struct {
-	core    *dispatch.Core
-	log     *slog.Logger
-	dial    Dial
-	connect time.Duration
-	idleFor time.Duration
-	most    int // connections at once
-
-	mu      sync.Mutex
-	regions map[string]*region // by address
-	calls   map[callKey]*call  // by what call-backs name
-	tasks   map[*dispatch.Task]*call
-	conns   int
-	closed  bool
-}
+	core *dispatch.Core
+	log  *slog.Logger
+	pool *link.Pool[Message]
 
-type region struct {
-	addr string
-	idle []*conn // used last at the end
+	mu    sync.Mutex
+	calls map[callKey]*call // by what call-backs name
+	tasks map[*dispatch.Task]*call
 }
 
 type callKey struct{ id, from string }
 
-// call is a routed task on its way: what the driver holds of it.
+// call is what the driver holds of a routed task. Its context ends when the task is given
+// up before the region has taken it.
 type call struct {
 	task   *dispatch.Task
-	cancel context.CancelFunc // of the dialling
-	conn   *conn              // while the request travels on it
-	wrote  bool               // the last byte has been written
-	taken  bool               // the 202 has come
+	ctx    context.Context
+	stop   context.CancelFunc
+	wrote  bool // the request is on its way; this and the next two are guarded by Regions.mu
+	taken  bool // the 202 has come
 	gaveUp bool
 }
 
-// conn is one connection to a region. It carries one request at a time.
-type conn struct {
-	net.Conn
-	region *region
-	framer *Framer
-	since  time.Time    // idle since
-	answer chan *answer // one for each request
-	busy   bool         // guarded by Regions.mu
-}
-
-type answer struct {
-	response *http.Response
-	err      error
-}
-
-// NewRegions returns a pool that holds at most so many connections.
-func NewRegions(core *dispatch.Core, log *slog.Logger, dial Dial, most int) *Regions {
+// NewRegions returns a driver that holds at most so many connections.
+func NewRegions(core *dispatch.Core, log *slog.Logger, dial link.Dial, most int) *Regions {
 	s := core.Settings()
-	return &Regions{core: core, log: log, dial: dial, connect: s.ConnectTimeout, most: most,
-		idleFor: time.Duration(idleShare * float64(s.ConnIdle)), regions: map[string]*region{},
-		calls: map[callKey]*call{}, tasks: map[*dispatch.Task]*call{}}
+	return &Regions{core: core, log: log, calls: map[callKey]*call{}, tasks: map[*dispatch.Task]*call{},
+		pool: link.NewPool(dial, NewResponseFramer, s.ConnectTimeout, s.ConnIdle, most)}
 }
 
+// Run keeps the pool tidy until the context ends.
+func (r *Regions) Run(ctx context.Context) { r.pool.Sweep(ctx) }
+
 // Start carries a routed task to its region.
-func (p *Regions) Start(t *dispatch.Task) {
-	ctx, cancel := context.WithTimeout(context.Background(), p.connect)
-	c := &call{task: t, cancel: cancel}
-	p.mu.Lock()
-	p.calls[callKey{t.Transaction.ID, t.Region.Name}] = c
-	p.tasks[t] = c
-	p.mu.Unlock()
-	go p.carry(ctx, c)
+func (r *Regions) Start(t *dispatch.Task) {
+	ctx, stop := context.WithCancel(context.Background())
+	c := &call{task: t, ctx: ctx, stop: stop}
+	r.mu.Lock()
+	r.calls[callKey{t.Transaction.ID, t.Region.Name}] = c
+	r.tasks[t] = c
+	r.mu.Unlock()
+	go r.carry(c)
 }
 
 // carry takes one routed task to its region. What it reports follows the protocol's
 // table: nothing ran if the connection never came up or broke before the last byte was
-// written; after that, it may have.
-func (p *Regions) carry(ctx context.Context, c *call) {
-	defer c.cancel()
+// written; after that, it may have. Nothing is ever sent again here: a repeat is the
+// balancer's to decide.
+func (r *Regions) carry(c *call) {
+	defer c.stop()
 	q := c.task.Transaction.Payload.(*request)
-	cn, err := p.get(ctx, c.task.Region.Addr)
-	p.mu.Lock()
-	gaveUp := c.gaveUp
-	c.conn = cn
-	p.mu.Unlock()
-	switch {
-	case gaveUp:
-		if err == nil {
-			p.put(cn)
+	conn, err := r.pool.Get(c.ctx, c.task.Region.Addr)
+	if err != nil {
+		if c.ctx.Err() != nil { // given up before anything was sent
+			r.end(c, balance.StatusMoot, nil)
+			return
 		}
-		p.end(c, balance.StatusMoot, nil)
+		r.say(c, "region unreachable", err)
+		r.end(c, balance.StatusUnreachable, nil)
 		return
-	case err != nil:
-		p.log.Info("region unreachable", "region", c.task.Region.Name, "id", c.task.Transaction.ID, "err", err)
-		p.end(c, balance.StatusUnreachable, nil)
+	}
+	if !r.begin(c) {
+		r.pool.Put(conn)
+		r.end(c, balance.StatusMoot, nil)
 		return
 	}
-	data := q.encode(c.task.Wait)
-	cn.framer.Expect(q.method)
-	_ = cn.SetWriteDeadline(time.Now().Add(writeWait))
 	// A write cut short proves that the region never had the whole request.
-	if n, err := cn.Write(data); n < len(data) {
-		p.drop(cn)
-		p.log.Info("request cut short", "region", c.task.Region.Name, "id", c.task.Transaction.ID, "err", err)
-		p.end(c, balance.StatusUnreachable, nil)
+	data := q.encode(c.task.Wait)
+	if n, err := link.Write(conn, data); n < len(data) {
+		_ = conn.Close()
+		r.say(c, "request cut short", err)
+		r.end(c, balance.StatusUnreachable, nil)
 		return
 	}
-	p.mu.Lock()
-	c.wrote = true
-	p.mu.Unlock()
-	a := <-cn.answer
-	p.mu.Lock()
-	c.conn = nil
-	gaveUp = c.gaveUp
-	p.mu.Unlock()
-	if a.err != nil {
-		if gaveUp {
-			p.end(c, balance.StatusCancelled, nil)
+	m, err := conn.Receive(c.ctx)
+	if err != nil {
+		_ = conn.Close()
+		if c.ctx.Err() != nil {
+			r.end(c, balance.StatusCancelled, nil)
 			return
 		}
-		p.log.Info("region reset", "region", c.task.Region.Name, "id", c.task.Transaction.ID, "err", a.err)
-		p.end(c, balance.StatusReset, nil)
+		r.say(c, "region reset", err)
+		r.end(c, balance.StatusReset, nil)
 		return
 	}
-	p.put(cn)
-	switch code := a.response.StatusCode; {
+	r.release(conn, m)
+	switch code := m.Response.StatusCode; {
 	case code == http.StatusAccepted:
-		p.mu.Lock()
+		r.mu.Lock()
 		c.taken = true
-		gaveUp = c.gaveUp
-		p.mu.Unlock()
+		gaveUp := c.gaveUp
+		r.mu.Unlock()
 		if gaveUp {
-			p.delete(c)
+			r.delete(c)
 		}
 	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
-		a.response.Header.Get(headerDeclined) == "1":
-		p.end(c, balance.StatusFull, nil)
+		m.Response.Header.Get(headerDeclined) == "1":
+		r.end(c, balance.StatusFull, nil)
 	default:
-		p.log.Warn("region answered", "status", code, "region", c.task.Region.Name, "id", c.task.Transaction.ID)
-		p.end(c, balance.StatusError, nil)
+		r.log.Warn("region answered", "status", code, "region", c.task.Region.Name, "id", c.task.Transaction.ID)
+		r.end(c, balance.StatusError, nil)
 	}
 }
 
+// begin marks the request as on its way, unless the task has been given up.
+func (r *Regions) begin(c *call) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.wrote = !c.gaveUp
+	return c.wrote
+}
+
+func (r *Regions) release(conn *link.Conn[Message], m *Message) {
+	if m.Close {
+		_ = conn.Close()
+		return
+	}
+	r.pool.Put(conn)
+}
+
+func (r *Regions) say(c *call, what string, err error) {
+	r.log.Info(what, "region", c.task.Region.Name, "id", c.task.Transaction.ID, "err", err)
+}
+
 // end reports what became of a routed task and forgets it.
-func (p *Regions) end(c *call, s balance.Status, result []byte) {
-	p.mu.Lock()
-	p.forget(c)
-	p.mu.Unlock()
-	p.core.Ended(c.task, s, result)
+func (r *Regions) end(c *call, s balance.Status, result []byte) {
+	r.forget(c)
+	r.core.Ended(c.task, s, result)
 }
 
-func (p *Regions) forget(c *call) {
+func (r *Regions) forget(c *call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	key := callKey{c.task.Transaction.ID, c.task.Region.Name}
-	if p.calls[key] == c {
-		delete(p.calls, key)
+	if r.calls[key] == c {
+		delete(r.calls, key)
 	}
-	delete(p.tasks, c.task)
+	delete(r.tasks, c.task)
 }
 
-// Cancel gives a routed task up: before the 202 by closing its connection, after it by a
-// DELETE.
-func (p *Regions) Cancel(t *dispatch.Task) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c := p.tasks[t]
+// Cancel gives a routed task up: after the 202 by a DELETE, before it by closing its
+// connection.
+func (r *Regions) Cancel(t *dispatch.Task) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.tasks[t]
 	if c == nil || c.gaveUp {
 		return
 	}
 	c.gaveUp = true
 	switch {
 	case c.taken:
-		go p.delete(c)
-	case c.conn == nil:
-		c.cancel()
-	default:
+		go r.delete(c)
+	case c.wrote:
 		time.AfterFunc(takenWait, func() {
-			p.mu.Lock()
-			cn := c.conn
-			p.mu.Unlock()
-			if cn != nil {
-				p.drop(cn)
+			r.mu.Lock()
+			taken := c.taken
+			r.mu.Unlock()
+			if !taken {
+				c.stop()
 			}
 		})
+	default:
+		c.stop()
 	}
 }
 
 // delete tells a region that has taken a task to give it up.
-func (p *Regions) delete(c *call) {
-	ctx, cancel := context.WithTimeout(context.Background(), deleteWait)
-	defer cancel()
-	err := p.exchange(ctx, c.task.Region.Addr, []byte("DELETE "+pathJobs+c.task.Transaction.ID+
-		" HTTP/1.1\r\nHost: "+c.task.Region.Addr+"\r\nContent-Length: 0\r\n\r\n"))
+func (r *Regions) delete(c *call) {
+	ctx, stop := context.WithTimeout(context.Background(), deleteWait)
+	defer stop()
+	addr := c.task.Region.Addr
+	err := r.exchange(ctx, addr, "DELETE "+pathJobs+c.task.Transaction.ID+" HTTP/1.1\r\nHost: "+addr+
+		"\r\nContent-Length: 0\r\n\r\n")
 	if errors.Is(err, context.DeadlineExceeded) {
 		// It may still have the task, so nothing is settled; the core keeps other tasks of
 		// the transaction from it.
-		p.log.Info("cancel unanswered", "region", c.task.Region.Name, "id", c.task.Transaction.ID)
-		p.mu.Lock()
-		p.forget(c)
-		p.mu.Unlock()
+		r.say(c, "cancel unanswered", err)
+		r.forget(c)
 		return
 	}
-	p.end(c, balance.StatusCancelled, nil)
+	r.end(c, balance.StatusCancelled, nil)
 }
 
 // exchange sends a request whose answer says nothing but that it was read.
-func (p *Regions) exchange(ctx context.Context, addr string, data []byte) error {
-	cn, err := p.get(ctx, addr)
+func (r *Regions) exchange(ctx context.Context, addr, text string) error {
+	conn, err := r.pool.Get(ctx, addr)
 	if err != nil {
 		return err
 	}
-	cn.framer.Expect(http.MethodDelete)
-	_ = cn.SetWriteDeadline(time.Now().Add(writeWait))
-	if _, err := cn.Write(data); err != nil {
-		p.drop(cn)
+	if _, err := link.Write(conn, []byte(text)); err != nil {
+		_ = conn.Close()
 		return err
 	}
-	select {
-	case a := <-cn.answer:
-		if a.err == nil {
-			p.put(cn)
-		}
-		return a.err
-	case <-ctx.Done():
-		p.drop(cn)
-		return ctx.Err()
-	}
-}
-
-// Event takes a region's call-back. One that matches no live task is late or repeated.
-func (p *Regions) Event(id, from, state string, share float64, result []byte) {
-	p.mu.Lock()
-	c := p.calls[callKey{id, from}]
-	p.mu.Unlock()
-	if c == nil {
-		return
-	}
-	switch state {
-	case "started":
-		p.core.Started(c.task)
-	case "running":
-		p.core.Progress(c.task, share)
-	case "done":
-		p.end(c, balance.StatusOK, result)
-	case "failed":
-		p.end(c, balance.StatusError, nil)
-	case "returned":
-		p.end(c, balance.StatusFull, nil)
-	case "lost":
-		p.end(c, balance.StatusReset, nil)
-	}
-}
-
-// Listed closes idle connections to regions that are gone.
-func (p *Regions) Listed(list []dispatch.Region) {
-	there := map[string]bool{}
-	for _, r := range list {
-		there[r.Addr] = true
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for addr, r := range p.regions {
-		if !there[addr] {
-			for _, cn := range r.idle {
-				_ = cn.Close()
-			}
-		}
-	}
-}
-
-// get returns an idle connection, or opens one within the settings' time. At the limit an
-// idle connection elsewhere makes room; where none is idle the region counts as
-// unreachable, which proves that nothing was sent.
-func (p *Regions) get(ctx context.Context, addr string) (*conn, error) {
-	p.mu.Lock()
-	r := p.regions[addr]
-	if r == nil {
-		r = &region{addr: addr}
-		p.regions[addr] = r
-	}
-	for len(r.idle) > 0 {
-		cn := r.idle[len(r.idle)-1]
-		r.idle = r.idle[:len(r.idle)-1]
-		if time.Since(cn.since) < p.idleFor {
-			cn.busy = true
-			p.mu.Unlock()
-			return cn, nil
-		}
-		_ = cn.Close()
-	}
-	if p.conns >= p.most && !p.makeRoom() {
-		p.mu.Unlock()
-		return nil, errors.New("too many open connections")
-	}
-	p.conns++
-	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, p.connect)
-	defer cancel()
-	nc, err := p.dial(ctx, "tcp", addr)
+	m, err := conn.Receive(ctx)
 	if err != nil {
-		p.mu.Lock()
-		p.conns--
-		p.mu.Unlock()
-		return nil, err
-	}
-	cn := &conn{Conn: nc, region: r, framer: NewResponseFramer(), answer: make(chan *answer, 1), busy: true}
-	go p.read(cn)
-	return cn, nil
-}
-
-// makeRoom closes the connection that has been idle longest.
-func (p *Regions) makeRoom() bool {
-	var oldest *conn
-	for _, r := range p.regions {
-		if len(r.idle) > 0 && (oldest == nil || r.idle[0].since.Before(oldest.since)) {
-			oldest = r.idle[0]
-		}
-	}
-	if oldest == nil {
-		return false
-	}
-	oldest.region.remove(oldest)
-	_ = oldest.Close()
-	return true
-}
-
-func (r *region) remove(cn *conn) {
-	for i, x := range r.idle {
-		if x == cn {
-			r.idle = append(r.idle[:i], r.idle[i+1:]...)
-			return
-		}
-	}
-}
-
-// put makes a connection idle, unless its reader has seen its end.
-func (p *Regions) put(cn *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !cn.busy { // its reader has ended
-		return
-	}
-	if p.closed {
-		_ = cn.Close()
-	}
-	cn.busy, cn.since = false, time.Now()
-	cn.region.idle = append(cn.region.idle, cn)
-}
-
-func (p *Regions) drop(cn *conn) { _ = cn.Close() }
-
-// read is a connection's reader, from its first byte to its end. It stays on idle
-// connections too, so that a close by the region is seen before the next request is
-// written to it.
-func (p *Regions) read(cn *conn) {
-	defer func() {
-		_ = cn.Close()
-		p.mu.Lock()
-		p.conns--
-		cn.region.remove(cn)
-		cn.busy = false
-		p.mu.Unlock()
-	}()
-	buf := make([]byte, 4<<10)
-	for {
-		n, err := cn.Read(buf)
-		cn.framer.Feed(buf[:n])
-		for {
-			m, bad := cn.framer.Next()
-			if m == nil && bad == nil && err != nil {
-				if m, bad = cn.framer.End(); m == nil && bad == nil {
-					bad = io.EOF
-				}
-			}
-			if bad != nil {
-				cn.tell(&answer{err: bad})
-				return
-			}
-			if m == nil {
-				break
-			}
-			if m.Response.StatusCode/100 == 1 {
-				continue
-			}
-			p.mu.Lock()
-			busy := cn.busy
-			if m.Close {
-				cn.busy = false
-			}
-			p.mu.Unlock()
-			if !busy { // no request is out: it answers nothing
-				return
-			}
-			cn.tell(&answer{response: m.Response})
-			if m.Close {
-				return
-			}
-		}
+		_ = conn.Close()
+		return err
 	}
+	r.release(conn, m)
+	return nil
 }
 
-// tell hands an answer to whoever waits. The reader of a connection that breaks twice over
-// must not wait for one who is gone.
-func (cn *conn) tell(a *answer) {
-	select {
-	case cn.answer <- a:
+// Event takes a region's call-back. One that matches no live task is late or repeated, and
+// is dropped. It may come before the 202.
+func (r *Regions) Event(id, from, state string, share float64, result []byte) error {
+	r.mu.Lock()
+	c := r.calls[callKey{id, from}]
+	r.mu.Unlock()
+	status, ends := ends[state]
+	switch {
+	case !ends && state != "started" && state != "running":
+		return errors.New("state: unknown")
+	case c == nil:
+	case ends:
+		r.end(c, status, result)
+	case state == "started":
+		r.core.Started(c.task)
 	default:
+		r.core.Progress(c.task, share)
 	}
+	return nil
 }
 
-// Sweep closes connections that have been idle for long, until the context ends.
-func (p *Regions) Sweep(ctx context.Context) {
-	tick := time.NewTicker(p.idleFor / 8)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			p.mu.Lock()
-			p.closed = true
-			for _, r := range p.regions {
-				for _, cn := range r.idle {
-					_ = cn.Close()
-				}
-			}
-			p.mu.Unlock()
-			return
-		}
-		p.mu.Lock()
-		for _, r := range p.regions {
-			for _, cn := range r.idle {
-				if time.Since(cn.since) >= p.idleFor {
-					_ = cn.Close()
-				}
-			}
-		}
-		p.mu.Unlock()
+var ends = map[string]balance.Status{"done": balance.StatusOK, "failed": balance.StatusError,
+	"returned": balance.StatusFull, "lost": balance.StatusReset}
+
+// Listed closes idle connections to regions that are gone.
+func (r *Regions) Listed(list []dispatch.Region) {
+	listed := map[string]bool{}
+	for _, region := range list {
+		listed[region.Addr] = true
 	}
+	r.pool.Forget(listed)
 }
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -14,6 +14,7 @@
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
 	"tinroute.example/tinroute/internal/config"
+	"tinroute.example/tinroute/internal/link"
 )
 
 const (
@@ -30,17 +31,17 @@
 	core  *dispatch.Core
 	log   *slog.Logger
 	names *config.Names
-	dial  Dial
+	dial  link.Dial
 	addr  string
 	ask   chan bool // true to watch, false to fetch
 
 	version int64
 	conn    net.Conn
-	framer  *Framer
+	framer  link.Framer[Message]
 }
 
 // NewTable returns a table that asks at the address once it runs.
-func NewTable(core *dispatch.Core, log *slog.Logger, names *config.Names, dial Dial, addr string) *Table {
+func NewTable(core *dispatch.Core, log *slog.Logger, names *config.Names, dial link.Dial, addr string) *Table {
 	return &Table{core: core, log: log, names: names, dial: dial, addr: addr, ask: make(chan bool, 2)}
 }
 
@@ -133,7 +134,6 @@
 			return nil, err
 		}
 		t.framer = NewResponseFramer()
-		t.framer.Expect("GET")
 	}
 	conn := t.conn
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
