Serve Gearman clients from Gearman servers, off unless a flag names its file

Added internal/gearman (packet framer, job server to terminals, client to regions), deploy/gearman.toml and its reader, and scenarios that play the same text on both fronts: in memory by a fake clock, and over TCP on 127.0.0.1. Each compares how often everything happened. Seen there: keyed repeats inside the cell only, a drain kept from its first word, a client gone mid-job cancelled, a silent server left for another, resets, deadlines, partial packets, SIGTERM; equal counts on both fronts in all of them.

Checked: go test -race on all; the fake clock gives the same events each time. Ruled out: a region's ERROR ahead of JOB_CREATED counted as run; no job was made of it, so it is 'full'. Conclusion: the path is whole; bytes on the wire (ERROR packets, GET_STATUS) need tests next.

--- a/cmd/tinroute/main.go
+++ b/cmd/tinroute/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"flag"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -14,15 +15,20 @@
 )
 
 func main() {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	file := flag.String("gearman", "", "serve Gearman clients too, as this `file` says")
+	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	c, err := config.Load(os.Getenv)
+	d := &daemon.Daemon{Log: slog.New(slog.NewTextHandler(os.Stderr, nil))}
+	var err error
+	if d.Config, err = config.Load(os.Getenv); err == nil && *file != "" {
+		d.Gearman, err = config.LoadGearman(*file, d.Config.Settings, d.Config.Names)
+	}
 	if err == nil {
-		err = daemon.Run(ctx, c, log)
+		err = d.Run(ctx)
 	}
 	if err != nil {
-		log.Error("cannot serve", "err", err)
+		d.Log.Error("cannot serve", "err", err)
 		os.Exit(1)
 	}
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -210,9 +210,13 @@
 
 func (c *Core) note(t *Task, kind balance.NoteKind, share float64) {
 	c.post(func() {
-		if !t.done {
-			c.balancer.Note(c.now, t.Transaction.job, t.No, kind, share)
+		if t.done {
+			return
+		}
+		if f, ok := t.Transaction.Terminal.(Follower); ok && !t.Transaction.over {
+			f.Progress(share)
 		}
+		c.balancer.Note(c.now, t.Transaction.job, t.No, kind, share)
 	})
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -41,6 +41,13 @@
 	Answer(Answer)
 }
 
+// Follower is a Terminal whose client wants to hear of progress: the share done, 0 at the
+// start. Several routed tasks of a transaction may tell of theirs. The same terms hold as
+// for Answer.
+type Follower interface {
+	Progress(share float64)
+}
+
 // Transaction is one request as a front submits it. The exported fields are the front's
 // to set before Submit and no one's to change after.
 type Transaction struct {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,60 +9,139 @@
 	"net"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"tinroute.example/tinroute/dispatch"
 	"tinroute.example/tinroute/internal/config"
+	"tinroute.example/tinroute/internal/gearman"
 	"tinroute.example/tinroute/internal/platform"
 )
 
-// How the descriptors are shared: some are kept for discovery, the listener, standard
-// streams and connections being closed.
 const (
-	reserve       = 48
+	// Some descriptors are kept for discovery, the listeners, standard streams and
+	// connections that are being closed.
+	reserve     = 48
+	mostSockets = 1024
+	// terminalShare of the others is for terminals and call-backs, the rest for regions.
 	terminalShare = 0.6
+	// memoryShare of the limit is where the collector begins to work hard.
+	memoryShare = 0.75
+	// lastWords is how long cancels of losers may take to leave at the end.
+	lastWords = 50 * time.Millisecond
 )
 
+// Daemon is a dispatcher that has not been started.
+type Daemon struct {
+	Config  *config.Config
+	Gearman *config.Gearman // nil where the second front is off
+	Log     *slog.Logger
+	Dial    func(ctx context.Context, network, addr string) (net.Conn, error) // a net.Dialer's where nil
+	Listen  func(network, addr string) (net.Listener, error)                  // net.Listen where nil
+}
+
+// front is one protocol's side, with a core of its own for its own fleet.
+type front interface {
+	Serve(net.Listener) error
+	Drain(context.Context)
+}
+
 // Run serves until the context ends, then drains.
-func Run(ctx context.Context, c *config.Config, log *slog.Logger) error {
-	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
-	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 3 / 4)
-	sockets := min(c.Limits.Sockets, 1024) - reserve
-	terminals := int(float64(sockets) * terminalShare)
+func (d *Daemon) Run(ctx context.Context) error {
+	if d.Dial == nil {
+		d.Dial = new(net.Dialer).DialContext
+	}
+	if d.Listen == nil {
+		d.Listen = net.Listen
+	}
+	runtime.GOMAXPROCS(max(1, int(d.Config.Limits.Cores)))
+	debug.SetMemoryLimit(int64(memoryShare * float64(d.Config.Limits.MemoryMB<<20)))
+	sockets := min(d.Config.Limits.Sockets, mostSockets) - reserve
+	if d.Gearman != nil {
+		sockets /= 2
+	}
+	terminals := int(terminalShare * float64(sockets))
 
-	core, err := dispatch.New(dispatch.Options{Settings: *c.Settings, Log: log})
+	// The parts outlive ctx: they are needed until the last answer.
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	failed := make(chan error, 2)
+	var fronts []front
+	open := func(addr string, f front) error {
+		l, err := d.Listen("tcp", addr)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		context.AfterFunc(inner, func() { _ = l.Close() })
+		fronts = append(fronts, f)
+		go func() {
+			if err := f.Serve(l); err != nil {
+				failed <- err
+			}
+		}()
+		return nil
+	}
+
+	core, err := d.core()
 	if err != nil {
 		return err
 	}
-	dialer := &net.Dialer{KeepAlive: -1}
-	regions := platform.NewRegions(core, log, dialer.DialContext, sockets-terminals)
-	table := platform.NewTable(core, log, c.Names, dialer.DialContext, c.Discovery)
-	core.Connect(regions, table)
-	server := platform.NewServer(core, regions, log, c.Names, terminals)
-	l, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	regions := platform.NewRegions(core, d.Log, d.Dial, sockets-terminals)
+	if err := d.start(inner, core, regions, d.Config.Discovery, d.Config.Known); err != nil {
+		return err
 	}
-	inner, stop := context.WithCancel(context.Background())
-	defer stop()
-	go core.Run(inner)
-	if err := table.Start(c.Known); err != nil {
+	if err := open(d.Config.Listen, platform.NewServer(core, regions, d.Log, d.Config.Names, terminals)); err != nil {
 		return err
 	}
-	go table.Run(inner)
-	go regions.Run(inner)
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(l) }()
-	log.Info("serving", "name", c.Name, "listen", c.Listen, "discovery", c.Discovery, "terminals", terminals,
-		"connections", sockets-terminals)
+	d.Log.Info("serving", "name", d.Config.Name, "listen", d.Config.Listen, "discovery", d.Config.Discovery,
+		"terminals", terminals, "connections", sockets-terminals)
+
+	if d.Gearman != nil {
+		log := d.Log.With("front", "gearman")
+		core, err := d.core()
+		if err != nil {
+			return err
+		}
+		if err := d.start(inner, core, gearman.NewRegions(core, log, d.Dial, sockets-terminals), d.Gearman.Discovery, nil); err != nil {
+			return err
+		}
+		if err := open(d.Gearman.Listen, gearman.NewServer(core, log, d.Gearman, d.Config.Name, terminals)); err != nil {
+			return err
+		}
+		log.Info("serving", "name", d.Config.Name, "listen", d.Gearman.Listen, "discovery", d.Gearman.Discovery,
+			"terminals", terminals, "connections", sockets-terminals)
+	}
 
 	select {
-	case err := <-served:
+	case err := <-failed:
 		return err
 	case <-ctx.Done():
 	}
-	server.Drain(inner)
-	_ = l.Close()
-	time.Sleep(50 * time.Millisecond) // cancels of losers are on their way
+	var drained sync.WaitGroup
+	for _, f := range fronts {
+		drained.Go(func() { f.Drain(inner) })
+	}
+	drained.Wait()
+	time.Sleep(lastWords)
+	return nil
+}
+
+func (d *Daemon) core() (*dispatch.Core, error) {
+	return dispatch.New(dispatch.Options{Settings: *d.Config.Settings, Log: d.Log})
+}
+
+// start brings a core and its drivers to life, beginning with the service table as known.
+func (d *Daemon) start(ctx context.Context, core *dispatch.Core, regions interface {
+	dispatch.Regions
+	Run(context.Context)
+}, discovery string, known []byte) error {
+	table := platform.NewTable(core, d.Log, d.Config.Names, d.Dial, discovery)
+	core.Connect(regions, table)
+	go core.Run(ctx)
+	go regions.Run(ctx)
+	if err := table.Start(known); err != nil {
+		return err
+	}
+	go table.Run(ctx)
 	return nil
 }
--- /dev/null
+++ b/internal/daemon/scenario_test.go
@@ -0,0 +1,247 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tinroute.example/tinroute/internal/config"
+)
+
+// The scenario language. A line is a verb and who it concerns: a number is a client's
+// request, a small letter a region, a capital letter whichever region got a task first,
+// "table" discovery, "dispatcher" the daemon.
+//
+//	send 1 CLASS [half]        a client sends request 1, or the first half of its bytes
+//	send 1 rest                ... and the rest
+//	send a STATE 1             region a tells of request 1: started, running, done, failed, returned, lost
+//	send a MODE                region a is from now on: normal, silent (takes bytes, says nothing), full, dark (no connection comes up)
+//	send table a STATE         discovery tells of region a
+//	send dispatcher TERM       the daemon is told to end
+//	expect 1 served|refused|failed
+//	expect a task 1            region a was given request 1
+//	expect a cancel 1          ... and told to give it up
+//	expect none                nothing has happened that no line expects
+//	close 1 | a | a 1 | table  a client leaves, a region dies, one exchange is cut, discovery goes
+//	wait 1s
+type world struct {
+	t       *testing.T
+	net     network
+	wire    wire
+	fake    bool
+	table   *table
+	regions map[string]*region
+	clients map[string]net.Conn
+	bound   map[string]string
+	rest    []byte
+	stop    context.CancelFunc
+
+	mu     sync.Mutex
+	events []string
+	counts map[string]int
+}
+
+// happened notes what a stand-in met.
+func (w *world) happened(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := fmt.Sprintf(format, args...)
+	w.events = append(w.events, e)
+	w.counts[strings.Fields(e)[1]]++
+}
+
+// take finds the first event that a line expects and removes it.
+func (w *world) take(who, what string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, e := range w.events {
+		actor, rest, _ := strings.Cut(e, " ")
+		if rest != what {
+			continue
+		}
+		if who == strings.ToUpper(who) && who != strings.ToLower(who) {
+			if b, ok := w.bound[who]; ok && b != actor {
+				continue
+			}
+			w.bound[who] = actor
+		} else if actor != who {
+			continue
+		}
+		w.events = slices.Delete(w.events, i, i+1)
+		return true
+	}
+	return false
+}
+
+func (w *world) settle() {
+	if w.fake {
+		synctest.Wait()
+	}
+}
+
+func (w *world) expect(line, who, what string) {
+	w.settle()
+	for until := time.Now().Add(5 * time.Second); !w.take(who, what); {
+		if w.fake || time.Now().After(until) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			require.FailNow(w.t, "did not happen: "+line, "unexpected so far: %q", w.events)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func (w *world) line(line string) {
+	f := strings.Fields(line)
+	for i, name := range f {
+		if b, ok := w.bound[name]; ok && f[0] != "expect" {
+			f[i] = b
+		}
+	}
+	who := f[1]
+	switch {
+	case f[0] == "wait":
+		d, err := time.ParseDuration(who)
+		require.NoError(w.t, err, line)
+		time.Sleep(d)
+	case f[0] == "expect" && who == "none":
+		w.settle()
+		if !w.fake {
+			time.Sleep(30 * time.Millisecond)
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		require.Empty(w.t, w.events, line)
+	case f[0] == "expect":
+		w.expect(line, who, strings.Join(f[2:], " "))
+	case f[0] == "send" && who == "table":
+		w.table.tell(f[2], f[3])
+	case f[0] == "send" && who == "dispatcher":
+		w.stop()
+	case f[0] == "send" && w.regions[who] != nil:
+		r := w.regions[who]
+		if len(f) == 3 {
+			r.setMode(f[2])
+		} else {
+			w.wire.tell(r, f[3], f[2])
+		}
+	case f[0] == "send":
+		w.request(who, f[2:])
+	case f[0] == "close" && who == "table":
+		w.table.close()
+	case f[0] == "close" && w.regions[who] != nil && len(f) == 3:
+		w.regions[who].cut(f[2])
+	case f[0] == "close" && w.regions[who] != nil:
+		w.regions[who].close()
+	case f[0] == "close":
+		require.NoError(w.t, w.clients[who].Close(), line)
+	default:
+		require.FailNow(w.t, "no such line: "+line)
+	}
+	w.settle()
+}
+
+func (w *world) request(id string, f []string) {
+	if f[0] == "rest" {
+		_, err := w.clients[id].Write(w.rest)
+		require.NoError(w.t, err)
+		return
+	}
+	c, err := w.net.Dial(context.Background(), "tcp", w.wire.address())
+	require.NoError(w.t, err)
+	w.clients[id] = c
+	data := w.wire.request(id, f[0])
+	if len(f) > 1 && f[1] == "half" {
+		w.rest, data = data[len(data)/2:], data[:len(data)/2]
+	}
+	go func() {
+		if verdict, ok := w.wire.answer(c, id); ok {
+			w.happened("%s %s", id, verdict)
+		}
+	}()
+	_, err = c.Write(data)
+	require.NoError(w.t, err)
+}
+
+// play runs one scenario and returns how often each thing happened.
+func play(t *testing.T, text string, n network, wr wire, fake bool) map[string]int {
+	w := &world{t: t, net: n, wire: wr, fake: fake, counts: map[string]int{}, bound: map[string]string{},
+		regions: map[string]*region{}, clients: map[string]net.Conn{}}
+	lines := strings.Split(strings.TrimSpace(text), "\n")
+	for _, name := range strings.Fields(strings.TrimPrefix(lines[0], "regions")) {
+		name, cell, _ := strings.Cut(name, "/")
+		w.regions[name] = newRegion(w, name, cell)
+	}
+	w.table = newTable(w)
+	c, err := config.Parse([]byte(settings))
+	require.NoError(t, err)
+	c.Listen, c.Discovery = "http", "table"
+	d := &Daemon{Config: c, Log: slog.New(slog.DiscardHandler), Dial: n.Dial, Listen: n.Listen}
+	wr.prepare(t, w, d)
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx); w.happened("dispatcher ended") }()
+	defer func() {
+		stop()
+		require.NoError(t, <-ended)
+		w.table.close()
+		for _, r := range w.regions {
+			r.close()
+		}
+		for _, c := range w.clients {
+			_ = c.Close()
+		}
+		w.settle()
+	}()
+	for w.settle(); !w.table.asked(); w.settle() { // the daemon is up once it watches the table
+		time.Sleep(time.Millisecond)
+	}
+	for _, line := range lines[1:] {
+		if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "#") {
+			w.line(line)
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.counts)
+}
+
+// Each scenario is played on both fronts: on an in-memory network by a fake clock and, where
+// it is short, over TCP on the loopback address by the real one. The same things must
+// happen equally often.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		require.NoError(t, err)
+		name := strings.TrimSuffix(filepath.Base(file), ".txt")
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var counts []map[string]int
+			for _, wr := range []wire{&httpWire{}, &gearmanWire{}} {
+				synctest.Test(t, func(t *testing.T) { counts = append(counts, play(t, string(text), &memory{}, wr, true)) })
+			}
+			require.Equal(t, counts[0], counts[1], "HTTP and Gearman")
+			if strings.Contains(string(text), "# loopback") {
+				for _, wr := range []wire{&httpWire{}, &gearmanWire{}} {
+					require.Equal(t, counts[0], play(t, string(text), &loopback{}, wr, false), "loopback")
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/gearman/regions.go
@@ -0,0 +1,208 @@
+package gearman
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strconv"
+	"sync"
+
+	"tinroute.example/tinroute/balance"
+	"tinroute.example/tinroute/dispatch"
+	"tinroute.example/tinroute/internal/link"
+)
+
+// Regions carries routed tasks to Gearman job servers, whose client it is. It implements
+// dispatch.Regions. A connection carries one job at a time, and is closed to give a job up.
+type Regions struct {
+	core  *dispatch.Core
+	log   *slog.Logger
+	pool  *link.Pool[Packet]
+	mu    sync.Mutex
+	tasks map[*dispatch.Task]context.CancelFunc
+}
+
+// NewRegions returns a driver that holds at most so many connections.
+func NewRegions(core *dispatch.Core, log *slog.Logger, dial link.Dial, most int) *Regions {
+	s := core.Settings()
+	return &Regions{core: core, log: log, tasks: map[*dispatch.Task]context.CancelFunc{},
+		pool: link.NewPool(dial, NewResponseFramer, s.ConnectTimeout, s.ConnIdle, most)}
+}
+
+// Run keeps the pool tidy until the context ends.
+func (r *Regions) Run(ctx context.Context) { r.pool.Sweep(ctx) }
+
+// Listed closes idle connections to regions that are gone.
+func (r *Regions) Listed(list []dispatch.Region) {
+	listed := map[string]bool{}
+	for _, region := range list {
+		listed[region.Addr] = true
+	}
+	r.pool.Forget(listed)
+}
+
+// Start carries a routed task to its region.
+func (r *Regions) Start(t *dispatch.Task) {
+	ctx, stop := context.WithCancel(context.Background())
+	r.mu.Lock()
+	r.tasks[t] = stop
+	r.mu.Unlock()
+	go func() {
+		defer stop()
+		status, result := r.carry(ctx, t)
+		r.mu.Lock()
+		delete(r.tasks, t)
+		r.mu.Unlock()
+		r.core.Ended(t, status, result)
+	}()
+}
+
+// Cancel gives a routed task up by closing its connection.
+func (r *Regions) Cancel(t *dispatch.Task) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if stop := r.tasks[t]; stop != nil {
+		stop()
+	}
+}
+
+// carry takes one routed task through its exchange. Nothing ran if no connection came up,
+// or if it broke before the packet's last byte was written, or if the server answered with
+// an ERROR in place of JOB_CREATED; after anything else it may have. Nothing is sent again
+// here: a repeat is the balancer's to decide.
+func (r *Regions) carry(ctx context.Context, t *dispatch.Task) (balance.Status, []byte) {
+	j := t.Transaction.Payload.(*job)
+	conn, err := r.pool.Get(ctx, t.Region.Addr)
+	if err != nil {
+		if ctx.Err() != nil { // given up before anything was sent
+			return balance.StatusMoot, nil
+		}
+		r.say(t, "region unreachable", err)
+		return balance.StatusUnreachable, nil
+	}
+	keep := false
+	defer func() {
+		if keep {
+			r.pool.Put(conn)
+		} else {
+			_ = conn.Close()
+		}
+	}()
+	if ctx.Err() != nil {
+		return balance.StatusMoot, nil
+	}
+	data := Request(SubmitJob, j.function, j.unique, j.data)
+	if n, err := link.Write(conn, data); n < len(data) {
+		r.say(t, "request cut short", err)
+		return balance.StatusUnreachable, nil
+	}
+	x := exchange{started: func() { r.core.Started(t) }, progress: func(s float64) { r.core.Progress(t, s) }}
+	for {
+		p, err := conn.Receive(ctx)
+		if err != nil {
+			if ctx.Err() != nil {
+				return balance.StatusCancelled, nil
+			}
+			r.say(t, "region reset", err)
+			return balance.StatusReset, nil
+		}
+		status, over, err := x.take(p)
+		if err != nil {
+			r.log.Warn("region answered", "region", t.Region.Name, "id", t.Transaction.ID, "err", err)
+		}
+		if over {
+			keep = err == nil
+			return status, x.result
+		}
+	}
+}
+
+func (r *Regions) say(t *dispatch.Task, what string, err error) {
+	r.log.Info(what, "region", t.Region.Name, "id", t.Transaction.ID, "err", err)
+}
+
+// exchange is the client's state machine for one job: it is fed packets and knows no
+// socket.
+type exchange struct {
+	handle   string // empty until JOB_CREATED
+	begun    bool
+	result   []byte
+	started  func()
+	progress func(share float64)
+}
+
+// take takes the server's next packet. At the end it tells what became of the job; an
+// error says that the server breaks the protocol or reports a fault of its own, and that
+// the connection is not to be used again.
+func (x *exchange) take(p *Packet) (status balance.Status, over bool, err error) {
+	if x.handle == "" {
+		switch p.Type {
+		case JobCreated:
+			if x.handle = string(p.Body); x.handle == "" {
+				return balance.StatusError, true, errors.New("JOB_CREATED without a handle")
+			}
+			return 0, false, nil
+		case Error: // it has not made a job of it
+			return balance.StatusFull, true, errors.New("ERROR: " + printable(p.Body))
+		}
+		return balance.StatusError, true, errors.New("no JOB_CREATED but packet type " + strconv.Itoa(int(p.Type)))
+	}
+	if p.Type == Error {
+		return balance.StatusError, true, errors.New("ERROR: " + printable(p.Body))
+	}
+	n := 2
+	switch p.Type {
+	case WorkFail:
+		n = 1
+	case WorkStatus:
+		n = 3
+	}
+	args, err := p.Args(n)
+	if err != nil {
+		return balance.StatusError, true, err
+	}
+	if string(args[0]) != x.handle {
+		return balance.StatusError, true, errors.New("a packet of another job: " + printable(args[0]))
+	}
+	switch p.Type {
+	case WorkStatus:
+		x.status(args[1], args[2])
+	case WorkData: // a part of the result ahead of its end
+		if len(x.result)+len(args[1]) > maxBody {
+			return balance.StatusError, true, errSize
+		}
+		x.result = append(x.result, args[1]...)
+	case WorkWarning: // says nothing that a decision hangs on
+	case WorkComplete:
+		if len(x.result)+len(args[1]) > maxBody {
+			return balance.StatusError, true, errSize
+		}
+		x.result = append(x.result, args[1]...)
+		return balance.StatusOK, true, nil
+	case WorkFail, WorkException:
+		return balance.StatusError, true, nil
+	default:
+		return balance.StatusError, true, errors.New("packet type " + strconv.Itoa(int(p.Type)))
+	}
+	return 0, false, nil
+}
+
+// status takes a WORK_STATUS: the first tells that the job runs.
+func (x *exchange) status(numerator, denominator []byte) {
+	if !x.begun {
+		x.begun = true
+		x.started()
+	}
+	done, err1 := strconv.ParseFloat(string(numerator), 64)
+	all, err2 := strconv.ParseFloat(string(denominator), 64)
+	if err1 == nil && err2 == nil && done > 0 && all >= done {
+		x.progress(done / all)
+	}
+}
+
+func printable(b []byte) string {
+	if len(b) > 80 {
+		b = b[:80]
+	}
+	return strconv.QuoteToASCII(string(b))
+}
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -58,14 +58,15 @@
 	}
 }
 
-// Start begins with the list as last held.
+// Start begins with the list as last held. Where there is none the balancer is told of an
+// empty one, or it would never ask for a better.
 func (t *Table) Start(known []byte) error {
-	if len(known) == 0 {
-		return nil
-	}
-	_, list, err := t.read(known)
-	if err != nil {
-		return fmt.Errorf("known: %w", err)
+	var list []dispatch.Region
+	if len(known) > 0 {
+		var err error
+		if _, list, err = t.read(known); err != nil {
+			return fmt.Errorf("known: %w", err)
+		}
 	}
 	t.core.Listed(balance.ListCached, list)
 	return nil
