Test both fronts' bytes on the wire, resets of keyed jobs and service past SIGTERM

Saw: nothing tested the ERROR packets, GET_STATUS, refusals or malformed HTTP; and with StatusReset turned into StatusUnreachable, or with no service past SIGTERM, every scenario still passed.

Added scenarios for each; both mutants now fail, as do ones without cancels and with ERROR taken for 'may have run'. Found by them: at its end the daemon left regions' connections open (link.Server.Drain); it closes them now.

--- a/internal/daemon/scenario_test.go
+++ b/internal/daemon/scenario_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -30,6 +31,9 @@
 //	send a MODE                region a is from now on: normal, silent (takes bytes, says nothing), full, dark (no connection comes up)
 //	send table a STATE         discovery tells of region a
 //	send dispatcher TERM       the daemon is told to end
+//	send 1 raw "TEXT"          a connection of client 1 carries these bytes
+//	expect 1 raw "TEXT"        ... and is answered with bytes that hold these
+//	expect 1 closed            ... and ends
 //	expect 1 served|refused|failed
 //	expect a task 1            region a was given request 1
 //	expect a cancel 1          ... and told to give it up
@@ -46,6 +50,7 @@
 	clients map[string]net.Conn
 	bound   map[string]string
 	rest    []byte
+	raw     map[string]*strings.Builder // what came on raw connections; guarded by mu
 	stop    context.CancelFunc
 
 	mu     sync.Mutex
@@ -124,6 +129,8 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		require.Empty(w.t, w.events, line)
+	case f[0] == "expect" && f[2] == "raw":
+		w.expectRaw(line, who, quoted(w.t, line))
 	case f[0] == "expect":
 		w.expect(line, who, strings.Join(f[2:], " "))
 	case f[0] == "send" && who == "table":
@@ -137,6 +144,8 @@
 		} else {
 			w.wire.tell(r, f[3], f[2])
 		}
+	case f[0] == "send" && f[2] == "raw":
+		w.sendRaw(who, quoted(w.t, line))
 	case f[0] == "send":
 		w.request(who, f[2:])
 	case f[0] == "close" && who == "table":
@@ -175,10 +184,56 @@
 	require.NoError(w.t, err)
 }
 
+func quoted(t *testing.T, line string) string {
+	text, err := strconv.Unquote(line[strings.Index(line, `"`):])
+	require.NoError(t, err, line)
+	return text
+}
+
+func (w *world) sendRaw(id, text string) {
+	c := w.clients[id]
+	if c == nil {
+		var err error
+		c, err = w.net.Dial(context.Background(), "tcp", w.wire.address())
+		require.NoError(w.t, err)
+		b := &strings.Builder{}
+		w.clients[id], w.raw[id] = c, b
+		go func() {
+			buf := make([]byte, 4096)
+			for {
+				n, err := c.Read(buf)
+				w.mu.Lock()
+				b.Write(buf[:n])
+				w.mu.Unlock()
+				if err != nil {
+					w.happened("%s closed", id)
+					return
+				}
+			}
+		}()
+	}
+	go func() { _, _ = c.Write([]byte(text)) }() // the other side may close in the middle
+}
+
+func (w *world) expectRaw(line, id, text string) {
+	w.settle()
+	for until := time.Now().Add(5 * time.Second); ; time.Sleep(2 * time.Millisecond) {
+		w.mu.Lock()
+		got := w.raw[id].String()
+		w.mu.Unlock()
+		if strings.Contains(got, text) {
+			return
+		}
+		if w.fake || time.Now().After(until) {
+			require.FailNow(w.t, "did not happen: "+line, "came: %q", got)
+		}
+	}
+}
+
 // play runs one scenario and returns how often each thing happened.
 func play(t *testing.T, text string, n network, wr wire, fake bool) map[string]int {
 	w := &world{t: t, net: n, wire: wr, fake: fake, counts: map[string]int{}, bound: map[string]string{},
-		regions: map[string]*region{}, clients: map[string]net.Conn{}}
+		regions: map[string]*region{}, clients: map[string]net.Conn{}, raw: map[string]*strings.Builder{}}
 	lines := strings.Split(strings.TrimSpace(text), "\n")
 	for _, name := range strings.Fields(strings.TrimPrefix(lines[0], "regions")) {
 		name, cell, _ := strings.Cut(name, "/")
@@ -223,7 +278,7 @@
 // it is short, over TCP on the loopback address by the real one. The same things must
 // happen equally often.
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
+	files, err := filepath.Glob("testdata/both/*.txt")
 	require.NoError(t, err)
 	require.NotEmpty(t, files)
 	for _, file := range files {
@@ -245,3 +300,19 @@
 		})
 	}
 }
+
+// What one protocol alone knows, and what is malformed in it.
+func TestWireScenarios(t *testing.T) {
+	for dir, wr := range map[string]func() wire{"http": func() wire { return &httpWire{} }, "gearman": func() wire { return &gearmanWire{} }} {
+		files, err := filepath.Glob("testdata/" + dir + "/*.txt")
+		require.NoError(t, err)
+		require.NotEmpty(t, files)
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			t.Run(dir+"/"+filepath.Base(file), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { play(t, string(text), &memory{}, wr(), true) })
+			})
+		}
+	}
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -139,22 +139,24 @@
 		if time.Now().Before(until) {
 			continue
 		}
-		if s.closeIdle() == 0 && open() == 0 {
+		if s.closeIdle(false) == 0 && open() == 0 {
+			s.closeIdle(true)
 			s.Log.Info("drained")
 			return
 		}
 	}
 }
 
-// closeIdle closes idle connections and returns how many are busy.
-func (s *Server) closeIdle() (busy int) {
+// closeIdle closes idle connections, the kept ones only if all is set, and returns how many
+// are busy.
+func (s *Server) closeIdle(all bool) (busy int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for p := range s.peers {
 		switch {
 		case p.busy > 0:
 			busy++
-		case !p.keep:
+		case all || !p.keep:
 			_ = p.Close()
 		}
 	}
