Add Starlark hooks and OTLP telemetry, both off unless configured

Added internal/hook (on_transaction in the submitting goroutine, on_outcome behind a queue of 256, 100,000 steps a call, no load) and internal/telemetry (spans and metrics by the SDK over OTLP/HTTP, a queue of 2,048 spans). Tests: the example script, failing and endless scripts, a stand-in collector that decodes on both fronts, and a collector that never answers.

--- a/balance/api.go
+++ b/balance/api.go
@@ -81,6 +81,10 @@
 	return s == StatusFull || s == StatusUnreachable || s == StatusMoot
 }
 
+func (s Status) String() string {
+	return [...]string{"ok", "error", "full", "timeout", "unreachable", "reset", "cancelled", "moot"}[s]
+}
+
 // NoteKind tells what a worker says of a job that is still out.
 type NoteKind uint8
 
--- a/cmd/tinroute/main.go
+++ b/cmd/tinroute/main.go
@@ -19,7 +19,7 @@
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	d := &daemon.Daemon{Log: slog.New(slog.NewTextHandler(os.Stderr, nil))}
+	d := &daemon.Daemon{Log: slog.New(slog.NewTextHandler(os.Stderr, nil)), Getenv: os.Getenv}
 	var err error
 	if d.Config, err = config.Load(os.Getenv); err == nil && *file != "" {
 		d.Gearman, err = config.LoadGearman(*file, d.Config.Settings, d.Config.Names)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -28,7 +28,8 @@
 	clock    Clock
 	regions  Regions
 	table    ServiceTable
-	observer Observer
+	hook     Hook
+	watching []Observer
 
 	events chan func()
 	closed chan struct{}
@@ -45,24 +46,22 @@
 	active   int
 }
 
-// Options are the parts that a Core works with. Log and Observer may be left out.
+// Options are the parts that a Core works with. All but Settings may be left out.
 type Options struct {
-	Settings balance.Settings
-	Log      *slog.Logger
-	Observer Observer
+	Settings  balance.Settings
+	Log       *slog.Logger
+	Hook      Hook
+	Observers []Observer
 }
 
 // New returns a core that does nothing until Connect and Run.
 func New(o Options) (*Core, error) {
-	c := &Core{settings: o.Settings, log: o.Log, observer: o.Observer, clock: NewClock(),
+	c := &Core{settings: o.Settings, log: o.Log, hook: o.Hook, watching: o.Observers, clock: NewClock(),
 		events: make(chan func(), mailbox), closed: make(chan struct{}),
 		jobs: map[balance.JobID]*Transaction{}, members: map[balance.WorkerID]Region{}}
 	if c.log == nil {
 		c.log = slog.New(slog.DiscardHandler)
 	}
-	if c.observer == nil {
-		c.observer = silent{}
-	}
 	var err error
 	c.balancer, err = balance.New(o.Settings, host{c})
 	return c, err
@@ -142,6 +141,12 @@
 // Submit hands over a transaction. From then on its Terminal is owed one answer, unless
 // Leave comes first.
 func (c *Core) Submit(tx *Transaction) error {
+	if c.hook != nil {
+		if a := c.hook.Transaction(tx); a != nil {
+			tx.Terminal.Answer(*a)
+			return nil
+		}
+	}
 	if int(c.open.Add(1)) > c.settings.MaxOpen && c.settings.MaxOpen > 0 {
 		c.open.Add(-1)
 		return ErrBusy
@@ -154,7 +159,7 @@
 	c.nextJob++
 	tx.job, tx.end = c.nextJob, c.now+tx.Patience
 	c.jobs[tx.job] = tx
-	c.observer.Began(tx)
+	c.observe(func(o Observer) { o.Began(tx) })
 	tx.guard = c.after(tx.Patience+overdue, func() {
 		if !tx.over {
 			c.log.Error("answer overdue", "id", tx.ID)
@@ -171,7 +176,7 @@
 	c.post(func() {
 		if !tx.over {
 			c.close(tx)
-			c.observer.Left(tx)
+			c.observe(func(o Observer) { o.Left(tx) })
 			c.balancer.Gone(c.now, tx.job)
 			c.forget(tx)
 		}
@@ -184,7 +189,7 @@
 		return
 	}
 	c.close(tx)
-	c.observer.Answered(tx, a)
+	c.observe(func(o Observer) { o.Answered(tx, a) })
 	tx.Terminal.Answer(a)
 	c.forget(tx)
 }
@@ -245,7 +250,9 @@
 	tx := t.Transaction
 	tx.out--
 	c.active--
-	c.observer.Ended(t, s, c.now-t.sent)
+	if !t.unsent {
+		c.observe(func(o Observer) { o.Ended(t, s, c.now-t.sent) })
+	}
 	if s == balance.StatusOK {
 		c.answer(tx, Answer{Verdict: Served, Result: result})
 	}
@@ -265,9 +272,16 @@
 		t.Transaction.unsettled = map[balance.WorkerID]int{}
 	}
 	t.Transaction.unsettled[t.Region.ID]++
+	c.observe(func(o Observer) { o.Withdrawn(t) })
 	c.regions.Cancel(t)
 }
 
+func (c *Core) observe(tell func(Observer)) {
+	for _, o := range c.watching {
+		tell(o)
+	}
+}
+
 // Listed takes word of the service table.
 func (c *Core) Listed(how balance.ListKind, list []Region) {
 	c.post(func() {
@@ -320,7 +334,7 @@
 	// A region receives one attempt of a request at a time: while an earlier one there
 	// is not settled, none is sent.
 	if !known || tx.over || t.Wait <= 0 || len(tx.tasks) > h.settings.MaxAttempts || tx.unsettled[to] > 0 {
-		t.settled = true
+		t.settled, t.unsent = true, true
 		h.deferred = append(h.deferred, func() { h.ended(t, balance.StatusMoot, nil) })
 		return
 	}
@@ -330,7 +344,7 @@
 			h.ended(t, balance.StatusTimeout, nil)
 		}
 	})
-	h.observer.Sent(t, tx.out)
+	h.observe(func(o Observer) { o.Sent(t) })
 	h.regions.Start(t)
 }
 
@@ -376,15 +390,6 @@
 
 func (h host) Log(text string) { h.log.Info("policy", "says", text) }
 
-// silent observes nothing.
-type silent struct{}
-
-func (silent) Began(*Transaction)                         {}
-func (silent) Sent(*Task, int)                            {}
-func (silent) Ended(*Task, balance.Status, time.Duration) {}
-func (silent) Answered(*Transaction, Answer)              {}
-func (silent) Left(*Transaction)                          {}
-
 // timer is something to do at an instant.
 type timer struct {
 	at    time.Duration
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -61,6 +61,7 @@
 	Memory   float64
 	Payload  any // the front's own; drivers find it at each routed task
 	Terminal Terminal
+	Trace    string // a traceparent that the client sent, or empty
 
 	job       balance.JobID
 	end       time.Duration
@@ -89,6 +90,7 @@
 	done      bool // its outcome has been given to the balancer
 	settled   bool // the driver holds nothing of it any more
 	withdrawn bool
+	unsent    bool // it never left: the driver was not told of it
 	limit     *timer
 }
 
@@ -112,10 +114,20 @@
 	Fetch()
 }
 
+// Hook looks at a transaction before the core does, on the goroutine that submits it. It
+// may set Tenant and Hint, or refuse: then nothing is sent, and the answer says why. It
+// never chooses a region.
+type Hook interface {
+	Transaction(tx *Transaction) (refused *Answer)
+}
+
 // Observer is told of what the core does, from the core's goroutine; it must not block.
+// Every transaction that Began is either Answered or has Left, and every task that was
+// Sent has Ended, perhaps after that.
 type Observer interface {
 	Began(tx *Transaction)
-	Sent(t *Task, copies int)
+	Sent(t *Task)
+	Withdrawn(t *Task)
 	Ended(t *Task, s balance.Status, elapsed time.Duration)
 	Answered(tx *Transaction, a Answer)
 	Left(tx *Transaction)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,7 +38,8 @@
 	Listen    string
 	Discovery string
 	Limits    Limits
-	Known     []byte // the service table as last held, in discovery's form
+	Hooks     []string // script files, in the order they are asked
+	Known     []byte   // the service table as last held, in discovery's form
 	Settings  *balance.Settings
 	Names     *Names
 }
@@ -89,9 +90,16 @@
 		Limits: Limits{Cores: f.number(v, 1, "limits", "cores"),
 			MemoryMB: int(f.number(v, defaultMemoryMB, "limits", "memory_mb")),
 			Sockets:  int(f.number(v, defaultSockets, "limits", "sockets"))}}
+	for _, x := range f.list(v, "hooks") {
+		file, err := x.StringBytes()
+		if err != nil {
+			f.fail("hooks", "not text")
+		}
+		c.Hooks = append(c.Hooks, string(file))
+	}
 	seed := f.text(v, "seed")
 	if f.err != nil {
-		return nil, f.err
+		return nil, fmt.Errorf("configuration: %w", f.err)
 	}
 	switch {
 	case c.Limits.Cores <= 0:
--- a/internal/config/gearman.go
+++ b/internal/config/gearman.go
@@ -15,6 +15,7 @@
 type Gearman struct {
 	Listen    string
 	Discovery string
+	Hooks     []string            // script files, in the order they are asked
 	Functions map[string]Function // one for each class, named as the class
 }
 
@@ -42,8 +43,9 @@
 // ParseGearman reads the second front's file from its text.
 func ParseGearman(text string, s *balance.Settings, names *Names) (*Gearman, error) {
 	var file struct {
-		Listen    string `toml:"listen"`
-		Discovery string `toml:"discovery"`
+		Listen    string   `toml:"listen"`
+		Discovery string   `toml:"discovery"`
+		Hooks     []string `toml:"hooks"`
 		Function  map[string]struct {
 			Deadline string `toml:"deadline"`
 			Tenant   string `toml:"tenant"`
@@ -63,7 +65,7 @@
 	case file.Discovery == "":
 		return nil, fmt.Errorf("discovery: missing")
 	}
-	g := &Gearman{Listen: file.Listen, Discovery: file.Discovery, Functions: map[string]Function{}}
+	g := &Gearman{Listen: file.Listen, Discovery: file.Discovery, Hooks: file.Hooks, Functions: map[string]Function{}}
 	for i, c := range s.Classes {
 		g.Functions[c.Name] = Function{Class: i, Deadline: c.Deadline, Tenant: -1}
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -19,7 +19,7 @@
 
 func (f *facts) fail(key, why string) {
 	if f.err == nil {
-		f.err = fmt.Errorf("facts: %s: %s", key, why)
+		f.err = fmt.Errorf("%s: %s", key, why)
 	}
 }
 
@@ -119,7 +119,7 @@
 // what a real dispatcher finds in its configuration. The seed is not part of it.
 func Settings(v *fastjson.Value) (*balance.Settings, *Names, error) {
 	if v == nil || v.Type() != fastjson.TypeObject {
-		return nil, nil, errors.New("facts: not an object")
+		return nil, nil, errors.New("not an object")
 	}
 	f := &facts{}
 	n := &Names{Class: map[string]int{}, Zone: f.names(v, "zones"), Kind: f.names(v, "kinds"),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,7 +15,9 @@
 	"tinroute.example/tinroute/dispatch"
 	"tinroute.example/tinroute/internal/config"
 	"tinroute.example/tinroute/internal/gearman"
+	"tinroute.example/tinroute/internal/hook"
 	"tinroute.example/tinroute/internal/platform"
+	"tinroute.example/tinroute/internal/telemetry"
 )
 
 const (
@@ -36,6 +38,7 @@
 	Config  *config.Config
 	Gearman *config.Gearman // nil where the second front is off
 	Log     *slog.Logger
+	Getenv  func(string) string                                               // for the OTEL_ variables; none where nil
 	Dial    func(ctx context.Context, network, addr string) (net.Conn, error) // a net.Dialer's where nil
 	Listen  func(network, addr string) (net.Listener, error)                  // net.Listen where nil
 }
@@ -82,7 +85,21 @@
 		return nil
 	}
 
-	core, err := d.core()
+	if d.Getenv == nil {
+		d.Getenv = func(string) string { return "" }
+	}
+	spans, err := telemetry.New(inner, d.Getenv, d.Config.Name, d.Log)
+	if err != nil {
+		return err
+	}
+	if spans != nil {
+		defer func() {
+			if err := spans.Close(); err != nil {
+				d.Log.Warn("telemetry", "err", err)
+			}
+		}()
+	}
+	core, err := d.core(inner, "http", d.Config.Hooks, spans, d.Log)
 	if err != nil {
 		return err
 	}
@@ -98,7 +115,7 @@
 
 	if d.Gearman != nil {
 		log := d.Log.With("front", "gearman")
-		core, err := d.core()
+		core, err := d.core(inner, "gearman", d.Gearman.Hooks, spans, log)
 		if err != nil {
 			return err
 		}
@@ -126,8 +143,26 @@
 	return nil
 }
 
-func (d *Daemon) core() (*dispatch.Core, error) {
-	return dispatch.New(dispatch.Options{Settings: *d.Config.Settings, Log: d.Log})
+// core makes a front's core, with the scripts and the telemetry that watch it.
+func (d *Daemon) core(ctx context.Context, front string, files []string, spans *telemetry.Telemetry,
+	log *slog.Logger) (*dispatch.Core, error) {
+	o := dispatch.Options{Settings: *d.Config.Settings, Log: log}
+	hooks, err := hook.Load(files, d.Config.Settings, d.Config.Names, log)
+	if err != nil {
+		return nil, err
+	}
+	if hooks != nil {
+		go hooks.Run(ctx)
+		o.Hook, o.Observers = hooks, append(o.Observers, hooks)
+	}
+	if spans != nil {
+		observer, err := spans.Observe(front, d.Config.Settings)
+		if err != nil {
+			return nil, err
+		}
+		o.Observers = append(o.Observers, observer)
+	}
+	return dispatch.New(o)
 }
 
 // start brings a core and its drivers to life, beginning with the service table as known.
--- a/internal/daemon/scenario_test.go
+++ b/internal/daemon/scenario_test.go
@@ -21,7 +21,8 @@
 	"tinroute.example/tinroute/internal/config"
 )
 
-// The scenario language. A line is a verb and who it concerns: a number is a client's
+// The scenario language. The first line names the regions with their cells, and scripts. Each
+// other line is a verb and who it concerns: a number is a client's
 // request, a small letter a region, a capital letter whichever region got a task first,
 // "table" discovery, "dispatcher" the daemon.
 //
@@ -235,7 +236,12 @@
 	w := &world{t: t, net: n, wire: wr, fake: fake, counts: map[string]int{}, bound: map[string]string{},
 		regions: map[string]*region{}, clients: map[string]net.Conn{}, raw: map[string]*strings.Builder{}}
 	lines := strings.Split(strings.TrimSpace(text), "\n")
+	var hooks []string
 	for _, name := range strings.Fields(strings.TrimPrefix(lines[0], "regions")) {
+		if strings.HasSuffix(name, ".star") {
+			hooks = append(hooks, name)
+			continue
+		}
 		name, cell, _ := strings.Cut(name, "/")
 		w.regions[name] = newRegion(w, name, cell)
 	}
@@ -245,6 +251,9 @@
 	c.Listen, c.Discovery = "http", "table"
 	d := &Daemon{Config: c, Log: slog.New(slog.DiscardHandler), Dial: n.Dial, Listen: n.Listen}
 	wr.prepare(t, w, d)
+	if c.Hooks = hooks; d.Gearman != nil {
+		d.Gearman.Hooks = hooks
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
 	ended := make(chan error, 1)
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -23,6 +23,7 @@
 	headerExtra    = "Req-Extra"
 	headerOnceKey  = "Idempotency-Key"
 	headerDeclined = "Srv-Declined"
+	headerTrace    = "Traceparent"
 
 	pathReady  = "/-/ready"
 	pathEvents = "/v1/job-events"
@@ -40,7 +41,8 @@
 }
 
 // passed are the headers that regions are given as they came.
-var passed = []string{headerID, headerOnceKey, headerOwner, headerRetry, headerCost, headerExtra, "Content-Type"}
+var passed = []string{headerID, headerOnceKey, headerOwner, headerRetry, headerCost, headerExtra, headerTrace,
+	"Tracestate", "Content-Type"}
 
 // readTransaction reads a client's request. The error names what is malformed.
 func readTransaction(m *Message, s *balance.Settings, names *config.Names) (*dispatch.Transaction, error) {
@@ -59,7 +61,8 @@
 	if c.Effect == balance.Keyed && h.Get(headerOnceKey) == "" {
 		return nil, fmt.Errorf("%s: missing for class %s", headerOnceKey, c.Name)
 	}
-	tx := &dispatch.Transaction{ID: id, Class: class, Tenant: -1, Patience: c.Deadline, Slots: 1}
+	tx := &dispatch.Transaction{ID: id, Class: class, Tenant: -1, Patience: c.Deadline, Slots: 1,
+		Trace: h.Get(headerTrace)}
 	if owner := h.Get(headerOwner); owner != "" {
 		if t, ok := names.Tenant[owner]; ok {
 			tx.Tenant = t
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -152,13 +152,10 @@
 
 func (d *Decoder) up() {
 	s, names, err := config.Settings(d.at(3))
-	if d.err == nil {
-		d.err = err
+	if d.err == nil && err != nil {
+		d.err = fmt.Errorf("%s: facts: %w", d.what, err)
 	}
 	if d.err != nil {
-		if err != nil && s == nil {
-			d.err = fmt.Errorf("%s: %w", d.what, err)
-		}
 		return
 	}
 	s.Seed = uint64(d.number(2, "random_seed", false))
