Let the core refuse what finds too many open, and end waits for a 202 that never comes

Saw, by reading: a region that calls back 'done' and never sends its 202 kept a connection and a goroutine for as long as it lived (carry in internal/platform/regions.go), and a request over max_open was refused without Retry-After (server.go).

The wait for a 202 ends two seconds after the end was told; Submit refuses by itself, with Retry-After.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"context"
-	"errors"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -19,6 +18,8 @@
 	// A cancel that a region does not settle keeps its slot busy for this many connect
 	// time-outs; then the balancer is told that the task is cancelled.
 	cancelWaits = 2
+	// busyBack is when a client may come back that met too many open transactions.
+	busyBack = time.Second
 )
 
 // Core is one dispatcher: a balancer and what it decides about.
@@ -135,24 +136,24 @@
 	}
 }
 
-// ErrBusy is Submit's answer when too many transactions are open.
-var ErrBusy = errors.New("too many open transactions")
-
 // Submit hands over a transaction. From then on its Terminal is owed one answer, unless
-// Leave comes first.
-func (c *Core) Submit(tx *Transaction) error {
+// Leave comes first. What a hook refuses, and what comes while too many are open, is
+// answered here and sent nowhere.
+func (c *Core) Submit(tx *Transaction) {
 	if c.hook != nil {
 		if a := c.hook.Transaction(tx); a != nil {
 			tx.Terminal.Answer(*a)
-			return nil
+			return
 		}
 	}
 	if int(c.open.Add(1)) > c.settings.MaxOpen && c.settings.MaxOpen > 0 {
 		c.open.Add(-1)
-		return ErrBusy
+		c.log.Warn("refused", "id", tx.ID, "open", c.settings.MaxOpen)
+		tx.Terminal.Answer(Answer{Verdict: Refused, RetryAfter: min(busyBack, c.settings.MaxRetryAfter),
+			Reason: "too many open requests"})
+		return
 	}
 	c.post(func() { c.begin(tx) })
-	return nil
 }
 
 func (c *Core) begin(tx *Transaction) {
--- /dev/null
+++ b/dispatch/core_test.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tinroute.example/tinroute/balance"
+)
+
+// fleet is a driver, a table and a terminal that note what they are told.
+type fleet struct {
+	started, cancelled []*Task
+	answers            []Answer
+	watches            int
+}
+
+func (f *fleet) Start(t *Task)   { f.started = append(f.started, t) }
+func (f *fleet) Cancel(t *Task)  { f.cancelled = append(f.cancelled, t) }
+func (f *fleet) Listed([]Region) {}
+func (f *fleet) Watch()          { f.watches++ }
+func (f *fleet) Fetch()          {}
+func (f *fleet) Answer(a Answer) { f.answers = append(f.answers, a) }
+
+func play(t *testing.T, regions int, settings func(*balance.Settings), scene func(*Core, *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := balance.Settings{Fleet: 1, Kinds: 1, MaxAttempts: 3, Cancel: true, SecondCopies: true, AskList: true,
+			ConnectTimeout: 250 * time.Millisecond, Tick: 5 * time.Millisecond, TellsStart: true, MaxRetryAfter: 2 * time.Second,
+			Classes: []balance.Class{{Name: "price-read", Aim: time.Second, Stretch: 2, Deadline: 5 * time.Second, Worth: 1, Kind: -1}}}
+		if settings != nil {
+			settings(&s)
+		}
+		c, err := New(Options{Settings: s})
+		require.NoError(t, err)
+		f := &fleet{}
+		c.Connect(f, f)
+		go c.Run(t.Context())
+		var list []Region
+		for i := range regions {
+			list = append(list, Region{Name: string(rune('a' + i)), Member: balance.Member{ID: balance.WorkerID(i + 1), Weight: 1}})
+		}
+		c.Listed(balance.ListCached, list)
+		scene(c, f)
+	})
+}
+
+func submit(c *Core, f *fleet) *Transaction {
+	tx := &Transaction{ID: "1", Tenant: -1, Patience: 5 * time.Second, Slots: 1, Terminal: f}
+	c.Submit(tx)
+	synctest.Wait()
+	return tx
+}
+
+// Late and repeated events are dropped: one outcome for each send, one answer for each
+// transaction.
+func TestOneAnswer(t *testing.T) {
+	play(t, 1, nil, func(c *Core, f *fleet) {
+		tx := submit(c, f)
+		task := f.started[0]
+		for range 3 {
+			c.Ended(task, balance.StatusOK, []byte("r"))
+			c.Ended(task, balance.StatusReset, nil)
+			c.Started(task)
+			c.Progress(task, 0.5)
+		}
+		c.Leave(tx)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, []Answer{{Verdict: Served, Result: []byte("r")}}, f.answers)
+		require.Len(t, f.started, 1)
+		require.Zero(t, c.Open())
+		require.Empty(t, c.jobs)
+		require.LessOrEqual(t, len(c.timers), 1) // the balancer's own: a finished job holds none
+	})
+}
+
+// While a region has not settled a cancel, it may still have the task: it must not be sent
+// another of the same transaction.
+func TestUnsettledCancelKeepsTheRegionOut(t *testing.T) {
+	play(t, 2, nil, func(c *Core, f *fleet) {
+		submit(c, f)
+		first := f.started[0]
+		time.Sleep(time.Second) // no start is told: it is copied
+		require.Len(t, f.started, 2)
+		c.post(func() {
+			host{c}.Cancel(1, 0)
+			host{c}.Send(1, first.Region.ID, 0) // as a balancer might, were it wrong
+		})
+		time.Sleep(time.Second)
+		require.Equal(t, []*Task{first}, f.cancelled)
+		require.Len(t, f.started, 2, "sent although the cancel is not settled")
+		require.Len(t, first.Transaction.tasks, 3)
+		require.True(t, first.Transaction.tasks[2].done)
+	})
+}
+
+// What finds too many open is refused at once, with a time to come back, and sent nowhere.
+func TestTooManyOpen(t *testing.T) {
+	play(t, 1, func(s *balance.Settings) { s.MaxOpen = 1 }, func(c *Core, f *fleet) {
+		submit(c, f)
+		submit(c, f)
+		require.Equal(t, []Answer{{Verdict: Refused, RetryAfter: time.Second, Reason: "too many open requests"}}, f.answers)
+		require.Len(t, f.started, 1)
+	})
+}
+
+// Started times map onto the clock, and dispatchers agree on regions' numbers whatever the
+// order in which they meet them.
+func TestClockAndNumbers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewClock()
+		require.Equal(t, time.Duration(time.Now().UnixNano()), c.Now())
+		time.Sleep(time.Hour)
+		require.Equal(t, time.Duration(time.Now().UnixNano()), c.Now())
+	})
+	require.Equal(t, balance.WorkerID(0x5be2a07c), RegionID("s-5be2a07c"))
+	require.NotEqual(t, RegionID("price-node-1"), RegionID("price-node-2"))
+	require.Greater(t, RegionID("price-node-1"), balance.WorkerID(1)<<32, "no hash may meet a parsed id")
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func example(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../example/config.json")
+	require.NoError(t, err)
+	return string(text)
+}
+
+func TestExampleAndDefaults(t *testing.T) {
+	c, err := Parse([]byte(example(t)))
+	require.NoError(t, err)
+	require.Equal(t, uint64(0x8c1f30d27a5be964), c.Settings.Seed)
+	require.Equal(t, 2*time.Second, c.Settings.MaxRetryAfter)
+	require.Equal(t, []string{"example/hooks.star"}, c.Hooks)
+	c, err = Parse([]byte(`{"settings":{"limits":{"dial_timeout_s":1}}}`))
+	require.NoError(t, err)
+	require.Equal(t, Limits{Cores: 1, MemoryMB: defaultMemoryMB, Sockets: defaultSockets}, c.Limits)
+	require.Equal(t, defaultConnIdle, c.Settings.ConnIdle)
+	require.Equal(t, defaultMaxOpen, c.Settings.MaxOpen)
+}
+
+// Whoever reads an error must learn which key to correct.
+func TestErrorsNameTheKey(t *testing.T) {
+	for _, c := range []struct{ from, to, key string }{
+		{`"cores": 1.0`, `"cores": 0`, "limits.cores"},
+		{`"memory_mb": 192`, `"memory_mb": "much"`, "memory_mb"},
+		{`"memory_mb": 192`, `"memory_mb": 8`, "limits.memory_mb"},
+		{`"sockets": 1024`, `"sockets": 3`, "limits.sockets"},
+		{`"seed": "8c`, `"seed": "zz`, "seed"},
+		{`"hooks": [`, `"hooks": [7,`, "hooks"},
+		{`"settings"`, `"sittings"`, "settings"},
+		{`"retryable"`, `"maybe"`, "settings: repeat"},
+		{`"dial_timeout_s": 0.25`, `"dial_timeout_s": 0`, "dial_timeout_s"},
+		{`"name": "n0"`, `"known": 7`, "known"},
+		{`{`, ``, "configuration"},
+	} {
+		_, err := Parse([]byte(strings.Replace(example(t), c.from, c.to, 1)))
+		require.ErrorContains(t, err, c.key)
+	}
+	file := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(file, []byte(strings.Replace(example(t), `"listen"`, `"listens"`, 1)), 0o600))
+	env := map[string]string{}
+	get := func(k string) string { return env[k] }
+	_, err := Load(get)
+	require.ErrorContains(t, err, "LB_CONFIG")
+	env["LB_CONFIG"] = file
+	_, err = Load(get)
+	require.ErrorContains(t, err, "listen")
+	env["LB_LISTEN"], env["LB_NAME"] = "127.0.0.1:1", "n7"
+	c, err := Load(get)
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:1 n7", c.Listen+" "+c.Name)
+}
+
+func TestGearman(t *testing.T) {
+	c, err := Parse([]byte(example(t)))
+	require.NoError(t, err)
+	g, err := LoadGearman("../../deploy/gearman.toml", c.Settings, c.Names)
+	require.NoError(t, err)
+	require.Equal(t, Function{Class: 2, Deadline: 25 * time.Second, Tenant: -1}, g.Functions["nav-run"])
+	const whole = "listen = 'x'\ndiscovery = 'y'\n"
+	g, err = ParseGearman(whole+"function.nav-run = {tenant='souss-actions', cost='2s', deadline='9s'}", c.Settings, c.Names)
+	require.NoError(t, err)
+	require.Equal(t, Function{Class: 2, Deadline: 9 * time.Second, Tenant: 1, Cost: 2 * time.Second}, g.Functions["nav-run"])
+	for text, key := range map[string]string{
+		"discovery = 'y'":                               "listen",
+		"listen = 'x'":                                  "discovery",
+		whole + "port = 1":                              "port",
+		whole + "function.brew = {}":                    "function.brew",
+		whole + "function.nav-run = {deadline='soon'}":  "function.nav-run.deadline",
+		whole + "function.nav-run = {cost='-1s'}":       "function.nav-run.cost",
+		whole + "function.nav-run = {tenant='nobody'}":  "function.nav-run.tenant",
+		whole + "function.nav-run = {priority='first'}": "function.nav-run.priority",
+	} {
+		_, err := ParseGearman(text, c.Settings, c.Names)
+		require.ErrorContains(t, err, key)
+	}
+}
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -210,9 +210,7 @@
 	}
 	c.Busy(1)
 	c.send(Response(JobCreated, t.handle))
-	if err := c.core.Submit(t.tx); err != nil {
-		t.Answer(dispatch.Answer{Verdict: dispatch.Refused, Reason: err.Error()})
-	}
+	c.core.Submit(t.tx)
 	return nil
 }
 
--- a/internal/platform/regions.go
+++ b/internal/platform/regions.go
@@ -18,6 +18,8 @@
 	// the 202, then closes the connection: were it closed at once, a region that had just
 	// sent its 202 would go on with a job that no one waits for.
 	takenWait = 60 * time.Millisecond
+	// How long a 202 may take once the job's end has been told.
+	answerWait = 2 * time.Second
 	// How long a DELETE may take, its connection included.
 	deleteWait = 2 * time.Second
 )
@@ -239,6 +241,9 @@
 	case c == nil:
 	case ends:
 		r.end(c, status, result)
+		// The 202 is still to come if this was faster. A region that never sends it must not
+		// hold the connection and its goroutine for ever.
+		time.AfterFunc(answerWait, c.stop)
 	case state == "started":
 		r.core.Started(c.task)
 	default:
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -131,10 +131,7 @@
 		return t.malformed(m, "malformed request", err)
 	}
 	tx.Terminal = t
-	if err := t.core.Submit(tx); err != nil {
-		t.log.Warn("refused", "id", tx.ID, "err", err)
-		return t.reply(m, http.StatusServiceUnavailable, err.Error())
-	}
+	t.core.Submit(tx)
 	select {
 	case a := <-t.answers:
 		return t.final(m, a)
