Handle SIGHUP as a reload: reread the file and move to its discovery

Checked: cmd/tinroute/main.go subscribed to SIGTERM and SIGINT only, so the runtime's default ended the process; platform.Table had one address for life; config.Load lets LB_DISCOVERY win, which is as old as the process. Ruled out: the old watch ending as a break of its own (the table closes the old connection itself on a move).

Done: config.Reload lets the file's discovery win and names a faulty key, after which all goes on as before. daemon.reload runs until the last answer, also while draining. Table.Move ends the call that is out, drops what the old address still says, and asks the new one at once for the whole list, since versions of two discoveries cannot be compared. The Gearman file is reread too. The stand-in table now answers a watch that has nothing new with no entries, as discovery does.

--- a/cmd/tinroute/main.go
+++ b/cmd/tinroute/main.go
@@ -19,12 +19,18 @@
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	d := &daemon.Daemon{Log: slog.New(slog.NewTextHandler(os.Stderr, nil)), Getenv: os.Getenv}
-	var err error
-	if d.Config, err = config.Load(os.Getenv); err == nil && *file != "" {
-		d.Gearman, err = config.LoadGearman(*file, d.Config.Settings, d.Config.Names)
+	hangup := make(chan os.Signal, 1) // one that waits stands for any that follow
+	signal.Notify(hangup, syscall.SIGHUP)
+	read := func(load func(func(string) string) (*config.Config, error)) (c *config.Config, g *config.Gearman, err error) {
+		if c, err = load(os.Getenv); err == nil && *file != "" {
+			g, err = config.LoadGearman(*file, c.Settings, c.Names)
+		}
+		return c, g, err
 	}
-	if err == nil {
+	d := &daemon.Daemon{Log: slog.New(slog.NewTextHandler(os.Stderr, nil)), Getenv: os.Getenv, Hangup: hangup,
+		Reread: func() (*config.Config, *config.Gearman, error) { return read(config.Reload) }}
+	var err error
+	if d.Config, d.Gearman, err = read(config.Load); err == nil {
 		err = d.Run(ctx)
 	}
 	if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
@@ -46,7 +47,13 @@
 
 // Load reads the file that $LB_CONFIG names. The other variables win over the file's own
 // name and addresses, which repeat them.
-func Load(getenv func(string) string) (*Config, error) {
+func Load(getenv func(string) string) (*Config, error) { return load(getenv, getenv("LB_DISCOVERY")) }
+
+// Reload reads that file again, in a process that has been told to. Its environment is as
+// old as the process, so here the file's word on discovery wins over $LB_DISCOVERY.
+func Reload(getenv func(string) string) (*Config, error) { return load(getenv, "") }
+
+func load(getenv func(string) string, discovery string) (*Config, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
 		return nil, errors.New("LB_CONFIG: not set")
@@ -59,19 +66,14 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, v := range []struct {
-		name string
-		to   *string
-	}{{"LB_NAME", &c.Name}, {"LB_LISTEN", &c.Listen}, {"LB_DISCOVERY", &c.Discovery}} {
-		if x := getenv(v.name); x != "" {
-			*v.to = x
-		}
-	}
+	c.Name = cmp.Or(getenv("LB_NAME"), c.Name)
+	c.Listen = cmp.Or(getenv("LB_LISTEN"), c.Listen)
+	c.Discovery = cmp.Or(discovery, c.Discovery)
 	switch {
 	case c.Listen == "":
 		return nil, errors.New("listen: missing, and LB_LISTEN is not set")
 	case c.Discovery == "":
-		return nil, errors.New("discovery: missing, and LB_DISCOVERY is not set")
+		return nil, errors.New("discovery: missing")
 	}
 	return c, nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -61,6 +61,17 @@
 	c, err := Load(get)
 	require.NoError(t, err)
 	require.Equal(t, "127.0.0.1:1 n7", c.Listen+" "+c.Name)
+	// The environment is the start's; a file that is read again is newer.
+	env["LB_DISCOVERY"] = "127.0.0.1:2"
+	c, err = Load(get)
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:2", c.Discovery)
+	c, err = Reload(get)
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:8500 127.0.0.1:1 n7", c.Discovery+" "+c.Listen+" "+c.Name)
+	require.NoError(t, os.WriteFile(file, []byte(strings.Replace(example(t), `"discovery":`, `"discoveries":`, 1)), 0o600))
+	_, err = Reload(get)
+	require.ErrorContains(t, err, "discovery")
 }
 
 func TestGearman(t *testing.T) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -38,6 +39,8 @@
 	Config  *config.Config
 	Gearman *config.Gearman // nil where the second front is off
 	Log     *slog.Logger
+	Hangup  <-chan os.Signal                                                  // each asks for a reload; none where nil
+	Reread  func() (*config.Config, *config.Gearman, error)                   // reads the files again, for a reload
 	Getenv  func(string) string                                               // for the OTEL_ variables; none where nil
 	Dial    func(ctx context.Context, network, addr string) (net.Conn, error) // a net.Dialer's where nil
 	Listen  func(network, addr string) (net.Listener, error)                  // net.Listen where nil
@@ -104,7 +107,8 @@
 		return err
 	}
 	regions := platform.NewRegions(core, d.Log, d.Dial, sockets-terminals)
-	if err := d.start(inner, core, regions, d.Config.Discovery, d.Config.Known); err != nil {
+	table, err := d.start(inner, core, regions, d.Config.Discovery, d.Config.Known)
+	if err != nil {
 		return err
 	}
 	if err := open(d.Config.Listen, platform.NewServer(core, regions, d.Log, d.Config.Names, terminals)); err != nil {
@@ -113,13 +117,14 @@
 	d.Log.Info("serving", "name", d.Config.Name, "listen", d.Config.Listen, "discovery", d.Config.Discovery,
 		"terminals", terminals, "connections", sockets-terminals)
 
+	var second *platform.Table
 	if d.Gearman != nil {
 		log := d.Log.With("front", "gearman")
 		core, err := d.core(inner, "gearman", d.Gearman.Hooks, spans, log)
 		if err != nil {
 			return err
 		}
-		if err := d.start(inner, core, gearman.NewRegions(core, log, d.Dial, sockets-terminals), d.Gearman.Discovery, nil); err != nil {
+		if second, err = d.start(inner, core, gearman.NewRegions(core, log, d.Dial, sockets-terminals), d.Gearman.Discovery, nil); err != nil {
 			return err
 		}
 		if err := open(d.Gearman.Listen, gearman.NewServer(core, log, d.Gearman, d.Config.Name, terminals)); err != nil {
@@ -129,6 +134,7 @@
 			"terminals", terminals, "connections", sockets-terminals)
 	}
 
+	go d.reload(inner, table, second)
 	select {
 	case err := <-failed:
 		return err
@@ -169,14 +175,38 @@
 func (d *Daemon) start(ctx context.Context, core *dispatch.Core, regions interface {
 	dispatch.Regions
 	Run(context.Context)
-}, discovery string, known []byte) error {
+}, discovery string, known []byte) (*platform.Table, error) {
 	table := platform.NewTable(core, d.Log, d.Config.Names, d.Dial, discovery)
 	core.Connect(regions, table)
 	go core.Run(ctx)
 	go regions.Run(ctx)
 	if err := table.Start(known); err != nil {
-		return err
+		return nil, err
 	}
 	go table.Run(ctx)
-	return nil
+	return table, nil
+}
+
+// reload reads the files again whenever it is told to, until the last answer: also while
+// the daemon drains, since what it has taken may need a region that only the new discovery
+// knows. It takes up where discovery is; all else holds until a restart. A file that is
+// faulty changes nothing.
+func (d *Daemon) reload(ctx context.Context, table, second *platform.Table) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.Hangup:
+		}
+		c, g, err := d.Reread()
+		if err != nil {
+			d.Log.Error("not reloaded", "err", err)
+			continue
+		}
+		d.Log.Info("reloaded", "discovery", c.Discovery)
+		table.Move(c.Discovery)
+		if second != nil && g != nil {
+			second.Move(g.Discovery)
+		}
+	}
 }
--- a/internal/daemon/scenario_test.go
+++ b/internal/daemon/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +34,8 @@
 //	send a MODE                region a is from now on: normal, silent (takes bytes, says nothing), full, dark (no connection comes up)
 //	send table a STATE         discovery tells of region a
 //	send dispatcher TERM       the daemon is told to end
+//	send dispatcher HUP NAME   ... to read its files again, which name this discovery, or are "faulty";
+//	                           "table" is this one from now on, and "old" the one before
 //	send 1 raw "TEXT"          a connection of client 1 carries these bytes
 //	expect 1 raw "TEXT"        ... and is answered with bytes that hold these
 //	expect 1 closed            ... and ends
@@ -47,6 +51,9 @@
 	wire    wire
 	fake    bool
 	table   *table
+	old     *table
+	hangup  chan os.Signal
+	reread  string // the discovery that the files name
 	regions map[string]*region
 	clients map[string]net.Conn
 	bound   map[string]string
@@ -136,6 +143,13 @@
 		w.expect(line, who, strings.Join(f[2:], " "))
 	case f[0] == "send" && who == "table":
 		w.table.tell(f[2], f[3])
+	case f[0] == "send" && who == "old":
+		w.old.tell(f[2], f[3])
+	case f[0] == "send" && who == "dispatcher" && f[2] == "HUP":
+		if w.reread = f[3]; f[3] != "faulty" {
+			w.old, w.table = w.table, newTable(w, f[3])
+		}
+		w.hangup <- syscall.SIGHUP
 	case f[0] == "send" && who == "dispatcher":
 		w.stop()
 	case f[0] == "send" && w.regions[who] != nil:
@@ -151,6 +165,8 @@
 		w.request(who, f[2:])
 	case f[0] == "close" && who == "table":
 		w.table.close()
+	case f[0] == "close" && who == "old":
+		w.old.close()
 	case f[0] == "close" && w.regions[who] != nil && len(f) == 3:
 		w.regions[who].cut(f[2])
 	case f[0] == "close" && w.regions[who] != nil:
@@ -234,7 +250,7 @@
 // play runs one scenario and returns how often each thing happened.
 func play(t *testing.T, text string, n network, wr wire, fake bool) map[string]int {
 	w := &world{t: t, net: n, wire: wr, fake: fake, counts: map[string]int{}, bound: map[string]string{},
-		regions: map[string]*region{}, clients: map[string]net.Conn{}, raw: map[string]*strings.Builder{}}
+		regions: map[string]*region{}, clients: map[string]net.Conn{}, raw: map[string]*strings.Builder{}, hangup: make(chan os.Signal, 1)}
 	lines := strings.Split(strings.TrimSpace(text), "\n")
 	var hooks []string
 	for _, name := range strings.Fields(strings.TrimPrefix(lines[0], "regions")) {
@@ -245,12 +261,24 @@
 		name, cell, _ := strings.Cut(name, "/")
 		w.regions[name] = newRegion(w, name, cell)
 	}
-	w.table = newTable(w)
+	w.table = newTable(w, "table")
 	c, err := config.Parse([]byte(settings))
 	require.NoError(t, err)
 	c.Listen, c.Discovery = "http", "table"
-	d := &Daemon{Config: c, Log: slog.New(slog.DiscardHandler), Dial: n.Dial, Listen: n.Listen}
+	d := &Daemon{Config: c, Log: slog.New(slog.DiscardHandler), Dial: n.Dial, Listen: n.Listen, Hangup: w.hangup}
 	wr.prepare(t, w, d)
+	d.Reread = func() (*config.Config, *config.Gearman, error) {
+		if w.reread == "faulty" {
+			return nil, nil, errors.New("discovery: missing")
+		}
+		c := *d.Config
+		if c.Discovery = w.reread; d.Gearman == nil {
+			return &c, nil, nil
+		}
+		g := *d.Gearman
+		g.Discovery = w.reread
+		return &c, &g, nil
+	}
 	if c.Hooks = hooks; d.Gearman != nil {
 		d.Gearman.Hooks = hooks
 	}
@@ -262,6 +290,9 @@
 		stop()
 		require.NoError(t, <-ended)
 		w.table.close()
+		if w.old != nil {
+			w.old.close()
+		}
 		for _, r := range w.regions {
 			r.close()
 		}
--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -215,8 +215,8 @@
 	conns   []net.Conn
 }
 
-func newTable(w *world) *table {
-	l, err := w.net.Listen("tcp", "table")
+func newTable(w *world, name string) *table {
+	l, err := w.net.Listen("tcp", name)
 	require.NoError(w.t, err)
 	t := &table{w: w, l: l, version: 1, states: map[string]string{}, changed: make(chan struct{}), done: make(chan struct{})}
 	for name := range w.regions {
@@ -290,13 +290,14 @@
 		}
 		t.mu.Lock()
 		var list []string
+		news := after < t.version
 		for name, state := range t.states {
-			if state != "DELETED" {
+			if news && state != "DELETED" {
 				list = append(list, fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"agadir","kind":"large","cell":%s,"state":%q,"weight":1}`,
 					t.w.regions[name].id(), name, t.w.regions[name].cell, state))
 			}
 		}
-		body := fmt.Sprintf(`{"version":%d,"full":true,"servers":[%s]}`, t.version, strings.Join(list, ","))
+		body := fmt.Sprintf(`{"version":%d,"full":%t,"servers":[%s]}`, t.version, news, strings.Join(list, ","))
 		t.mu.Unlock()
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	}
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -32,17 +33,51 @@
 	log   *slog.Logger
 	names *config.Names
 	dial  link.Dial
-	addr  string
 	ask   chan bool // true to watch, false to fetch
 
-	version int64
+	mu    sync.Mutex
+	next  string             // where to ask from now on
+	leave context.CancelFunc // ends what is asked of the address before
+
+	// The rest is Run's own.
+	addr    string
+	version int64 // of the list held, 0 where there is none of this address
 	conn    net.Conn
 	framer  link.Framer[Message]
 }
 
 // NewTable returns a table that asks at the address once it runs.
 func NewTable(core *dispatch.Core, log *slog.Logger, names *config.Names, dial link.Dial, addr string) *Table {
-	return &Table{core: core, log: log, names: names, dial: dial, addr: addr, ask: make(chan bool, 2)}
+	return &Table{core: core, log: log, names: names, dial: dial, addr: addr, next: addr, ask: make(chan bool, 2)}
+}
+
+// Move makes the table ask at another address from now on. It does so at once and for the
+// whole list, since the versions of two discoveries cannot be compared. The list in use
+// stays until then, and what the old address still says is dropped.
+func (t *Table) Move(addr string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if addr != t.next {
+		t.next = addr
+		if t.leave != nil {
+			t.leave()
+		}
+	}
+}
+
+// arrive turns to the address to be asked and returns a context that ends when it is left.
+func (t *Table) arrive(ctx context.Context) (here context.Context, moved bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	here, t.leave = context.WithCancel(ctx)
+	if moved = t.addr != t.next; moved {
+		t.addr, t.version = t.next, 0
+		if t.conn != nil {
+			_ = t.conn.Close()
+			t.conn = nil
+		}
+	}
+	return here, moved
 }
 
 // Watch subscribes to changes.
@@ -74,37 +109,56 @@
 
 // Run asks until the context ends.
 func (t *Table) Run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case watch := <-t.ask:
-			for wait := time.Duration(0); ; wait = watchWait {
-				full, list, err := t.inquire(ctx, watch, wait)
-				if ctx.Err() != nil {
-					return
-				}
-				if err != nil {
-					t.log.Warn("service table unreachable", "err", err)
-					t.core.ListFailed()
-					break
-				}
-				how := balance.ListChange
-				if full {
-					how = balance.ListFull
-				}
-				if full || len(list) > 0 || wait == 0 {
-					t.log.Info("service table", "version", t.version, "full", full, "entries", len(list))
-					t.core.Listed(how, list)
-				}
-				if !watch {
-					break
+	for ctx.Err() == nil {
+		here, moved := t.arrive(ctx)
+		if moved {
+			t.subscribe(here)
+		}
+		for here.Err() == nil {
+			select {
+			case <-here.Done():
+			case watch := <-t.ask:
+				if watch {
+					t.subscribe(here)
+				} else {
+					t.once(here, false, 0)
 				}
 			}
 		}
 	}
 }
 
+// subscribe watches until a call fails or the context ends.
+func (t *Table) subscribe(ctx context.Context) {
+	goes := t.once(ctx, t.version != 0, 0)
+	for goes {
+		goes = t.once(ctx, true, watchWait)
+	}
+}
+
+// once makes one call, tells the core of its answer, and returns whether there was one. An
+// answer that comes when its address has been left is old news and counts no more.
+func (t *Table) once(ctx context.Context, watch bool, wait time.Duration) bool {
+	full, list, err := t.inquire(ctx, watch, wait)
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		t.log.Warn("service table unreachable", "err", err)
+		t.core.ListFailed()
+		return false
+	}
+	how := balance.ListChange
+	if full {
+		how = balance.ListFull
+	}
+	if full || len(list) > 0 || wait == 0 {
+		t.log.Info("service table", "version", t.version, "full", full, "entries", len(list))
+		t.core.Listed(how, list)
+	}
+	return true
+}
+
 // inquire makes one call. A connection kept from an earlier call may have been closed in
 // the meantime: an inquiry repeats harmlessly, so it is made again on a new one.
 func (t *Table) inquire(ctx context.Context, watch bool, wait time.Duration) (bool, []dispatch.Region, error) {
