Bound unproven connections, and close after what is malformed

They fill the 201 places; room() in link/server.go closed the longest idle, so usual clients first, and only after 1 s. Regions open a connection for each call-back, so these queued behind. Ruled out: CPU (0.06 s in the worst second), memory (11 of 64 MB).

Done: whoever brings no good message within 2 s is closed; asking for ready proves nothing. At the limit refused, unproven (a quarter of the places at most) and idle connections give way, in that order and only among those that may be closed by now; room is made once a connection is there, not ahead. After a 400 the connection ends, with a lingering close so that unread bytes do not reset the answer away. A close with half a request behind it is a client that is gone.

--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -98,6 +98,9 @@
 	}
 	close(c.done)
 	<-written
+	if bad := (*link.Malformed)(nil); errors.As(err, &bad) {
+		p.Linger(c.done)
+	}
 	// The client is gone, and no one waits for its jobs.
 	s.mu.Lock()
 	left := c.jobs
@@ -148,17 +151,20 @@
 	case SubmitJob, SubmitJobHigh, SubmitJobLow:
 		err = c.submit(p)
 	case EchoReq:
+		c.Prove()
 		c.send(Response(EchoRes, string(p.Body)))
 	case OptionReq:
 		if string(p.Body) != "exceptions" {
 			c.send(Response(Error, codeUnserved, fmt.Sprintf("option %.40q", p.Body)))
 			break
 		}
+		c.Prove()
 		c.mu.Lock()
 		c.exceptions = true
 		c.mu.Unlock()
 		c.send(Response(OptionRes, "exceptions"))
 	case GetStatus:
+		c.Prove()
 		c.status(string(p.Body))
 	case SubmitJobBG, SubmitJobHighBG, SubmitJobLowBG, SubmitJobSched, SubmitJobEpoch:
 		c.refuse(codeUnserved, "background jobs are not served: no one would hear of their end")
@@ -208,6 +214,7 @@
 		c.refuse(codeBusy, fmt.Sprintf("%d jobs are open on this connection", jobsPerPeer))
 		return nil
 	}
+	c.Prove()
 	c.Busy(1)
 	c.send(Response(JobCreated, t.handle))
 	c.core.Submit(t.tx)
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"sync"
@@ -14,9 +15,21 @@
 	// New connections keep arriving for a while after SIGTERM, and clients go on using the
 	// ones they have; what they bring in this time is served.
 	acceptPast = time.Second
-	// At the limit a connection that has been idle for this long gives way to a new one.
+	// A connection that has not brought one good message in this time is closed: whoever
+	// opens connections and says nothing, or half of something, must not hold them.
+	proveWithin = 2 * time.Second
+	// At the limit connections give way to new ones: those that have proven nothing when
+	// they are this old, which is time enough to be read ...
+	unprovenEnough = 50 * time.Millisecond
+	unprovenShare  = 0.25
+	// ... and idle ones.
 	idleEnough = time.Second
 	lookAgain  = 50 * time.Millisecond
+	// After a last answer the peer may still be sending what was refused. Were the
+	// connection closed on that, the reset could overtake the answer; so what comes is
+	// dropped for a while.
+	lingerWait = 500 * time.Millisecond
+	lingerMost = 256 << 10
 )
 
 // Server accepts connections, holds a bounded number of them, and drains.
@@ -35,9 +48,42 @@
 type Peer struct {
 	net.Conn
 	server *Server
-	busy   int // messages in work
-	keep   bool
-	since  time.Time // idle since
+	prove  *time.Timer // ends it unless it proves itself
+
+	busy    int // messages in work; this and the rest are guarded by Server.mu
+	proven  bool
+	leaving bool // its last answer is given
+	keep    bool
+	since   time.Time // idle since
+}
+
+// Prove tells that the peer has sent a good message. It may be idle for long from then on.
+func (p *Peer) Prove() {
+	p.server.mu.Lock()
+	defer p.server.mu.Unlock()
+	p.proven = true
+	p.prove.Stop()
+}
+
+// Linger waits after the last answer until the peer has had time to read it. ended tells
+// that no one else reads from the connection any more.
+func (p *Peer) Linger(ended <-chan struct{}) {
+	half, ok := p.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	p.server.mu.Lock()
+	p.leaving = true
+	p.server.mu.Unlock()
+	wait := time.NewTimer(lingerWait)
+	defer wait.Stop()
+	select {
+	case <-ended:
+	case <-wait.C:
+		return
+	}
+	_ = p.SetReadDeadline(time.Now().Add(lingerWait))
+	_, _ = io.CopyN(io.Discard, p.Conn, lingerMost)
 }
 
 // Busy counts what is in work on the connection: 1 when something begins, -1 when it ends.
@@ -59,14 +105,13 @@
 // Draining tells whether the server has been told to end.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
-// Serve accepts until the listener is closed. At the limit it waits: the listen queue
-// holds what comes, rather than the process dying of it.
+// Serve accepts until the listener is closed. At the limit it waits with one more in hand: the
+// listen queue holds what comes, rather than the process dying of it.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.peers, s.changed = map[*Peer]bool{}, make(chan struct{}, 1)
 	s.mu.Unlock()
 	for {
-		s.room()
 		c, err := l.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
@@ -76,8 +121,10 @@
 			time.Sleep(lookAgain)
 			continue
 		}
+		s.room()
 		p := &Peer{Conn: c, server: s, since: time.Now()}
 		s.mu.Lock()
+		p.prove = time.AfterFunc(proveWithin, func() { _ = c.Close() })
 		s.peers[p] = true
 		s.mu.Unlock()
 		go func() {
@@ -90,6 +137,7 @@
 func (s *Server) ended(p *Peer) {
 	_ = p.Close()
 	s.mu.Lock()
+	p.prove.Stop()
 	delete(s.peers, p)
 	s.mu.Unlock()
 	select {
@@ -98,24 +146,19 @@
 	}
 }
 
-// room waits until one more connection may be held.
+// room waits until one more connection may be held. It is asked once that one is there, so
+// that none is closed for nothing.
 func (s *Server) room() {
 	for {
 		s.mu.Lock()
 		full := len(s.peers) >= s.Most
-		var oldest *Peer
-		for p := range s.peers {
-			if full && p.busy == 0 && !p.keep && (oldest == nil || p.since.Before(oldest.since)) {
-				oldest = p
-			}
+		if p := s.least(); full && p != nil {
+			_ = p.Close()
 		}
 		s.mu.Unlock()
 		if !full {
 			return
 		}
-		if oldest != nil && time.Since(oldest.since) > idleEnough {
-			_ = oldest.Close()
-		}
 		select {
 		case <-s.changed:
 		case <-time.After(lookAgain):
@@ -123,6 +166,71 @@
 	}
 }
 
+// least is the connection that gives way next, or nil while none may be closed. Those that
+// have proven nothing hold unprovenShare of the places at most: beyond it the oldest of them
+// is waited for, so that a flood of them pushes no idle client out. Below it they are not,
+// since each may be a client or a call-back on its way.
+func (s *Server) least() (least *Peer) {
+	unproven := 0
+	for p := range s.peers {
+		if p.rank() == rankUnproven {
+			unproven++
+		}
+	}
+	flooded := unproven > 0 && unproven >= int(unprovenShare*float64(s.Most))
+	for p := range s.peers {
+		if p.yields() && (!flooded || p.rank() <= rankUnproven) && (least == nil || p.before(least)) {
+			least = p
+		}
+	}
+	return least
+}
+
+// The order in which connections give way: those that only wait for their end, those that
+// have proven nothing, idle ones, those of call-backs, and never one that is in use.
+const (
+	rankLeaving = iota
+	rankUnproven
+	rankIdle
+	rankKept
+	rankBusy
+)
+
+func (p *Peer) rank() int {
+	switch {
+	case p.leaving:
+		return rankLeaving
+	case p.busy > 0:
+		return rankBusy
+	case !p.proven:
+		return rankUnproven
+	case !p.keep:
+		return rankIdle
+	}
+	return rankKept
+}
+
+// before tells whether p is to give way before o.
+func (p *Peer) before(o *Peer) bool {
+	if a, b := p.rank(), o.rank(); a != b {
+		return a < b
+	}
+	return p.since.Before(o.since)
+}
+
+// yields tells whether the connection may be closed for a new one by now.
+func (p *Peer) yields() bool {
+	switch idle := time.Since(p.since); p.rank() {
+	case rankLeaving:
+		return true
+	case rankUnproven:
+		return idle >= unprovenEnough
+	case rankIdle, rankKept:
+		return idle >= idleEnough
+	}
+	return false
+}
+
 // Drain goes on serving what comes for a while, then closes idle connections, and returns
 // when nothing is in work and open tells of nothing that is owed an answer.
 func (s *Server) Drain(ctx context.Context, open func() int) {
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -50,8 +50,11 @@
 	t := &terminal{Peer: p, Server: s, answers: make(chan dispatch.Answer, 1),
 		in: make(chan *Message, 1), ended: make(chan struct{}), quit: make(chan struct{})}
 	go t.read()
-	defer close(t.quit)
-	t.serve()
+	refused := t.serve()
+	close(t.quit)
+	if refused {
+		p.Linger(t.ended)
+	}
 }
 
 // terminal is one connection from a client, or from a region that calls back.
@@ -82,8 +85,10 @@
 	close(t.ended)
 }
 
-// serve answers one message after another.
-func (t *terminal) serve() {
+// serve answers one message after another until the connection is not to go on, and tells
+// whether the last answer was that a message is malformed. Whoever sends such a message may
+// not mean the next one either, so nothing after it is read.
+func (t *terminal) serve() (refused bool) {
 	for {
 		var m *Message
 		select {
@@ -92,55 +97,71 @@
 			select {
 			case m = <-t.in: // it came before the end
 			default:
-				if bad := (*link.Malformed)(nil); errors.As(t.err, &bad) {
-					t.log.Warn("malformed message", "from", t.RemoteAddr().String(), "err", t.err)
-					t.write(response(refusalStatus(t.err), []byte(t.err.Error()+"\n"), 0, true))
+				if isMalformed(t.err) {
+					return !t.malformed("malformed message", t.err)
 				}
-				return
+				return false
 			}
 		}
 		t.Busy(1)
-		ok := t.message(m)
+		goes, refused := t.message(m)
 		t.Busy(-1)
-		if !ok {
-			return
+		if !goes {
+			return refused
 		}
 	}
 }
 
-// message answers one message and tells whether the connection goes on.
-func (t *terminal) message(m *Message) bool {
+// message answers one message and tells whether the connection goes on, and else whether
+// it ends because the message is malformed.
+func (t *terminal) message(m *Message) (goes, refused bool) {
 	r := m.Request
 	switch {
-	case r.URL.Path == pathReady:
+	case r.URL.Path == pathReady: // proves nothing: anyone can ask, and stay
 		if t.ready.Load() {
-			return t.reply(m, http.StatusOK, "ready")
+			return t.reply(m, http.StatusOK, "ready"), false
 		}
-		return t.reply(m, http.StatusServiceUnavailable, "not ready")
+		return t.reply(m, http.StatusServiceUnavailable, "not ready"), false
 	case r.URL.Path == pathEvents && r.Method == http.MethodPost:
-		t.Keep()
 		if err := t.event(m.Body); err != nil {
-			return t.malformed(m, "malformed call-back", err)
+			return t.malformed("malformed call-back", err), true
 		}
-		return t.write(response(http.StatusNoContent, nil, 0, m.Close)) && !m.Close
+		t.Prove()
+		t.Keep()
+		return t.write(response(http.StatusNoContent, nil, 0, m.Close)) && !m.Close, false
 	case r.Method != http.MethodPost:
-		return t.reply(m, http.StatusNotFound, "not found")
+		return t.malformed("malformed request", &refusal{http.StatusNotFound, "not found"}), true
 	}
 	tx, err := readTransaction(m, t.core.Settings(), t.names)
 	if err != nil {
-		return t.malformed(m, "malformed request", err)
+		return t.malformed("malformed request", err), true
 	}
+	t.Prove()
 	tx.Terminal = t
 	t.core.Submit(tx)
-	select {
-	case a := <-t.answers:
-		return t.final(m, a)
-	case <-t.ended:
-		t.core.Leave(tx) // the client is gone, or sends what no one can read
-		return false
+	ended := t.ended
+	for {
+		select {
+		case a := <-t.answers:
+			return t.final(m, a), false
+		case <-ended:
+			if isMalformed(t.err) { // the client is still there and is owed this answer first
+				ended = nil
+				continue
+			}
+			t.core.Leave(tx)
+			return false, false
+		}
 	}
 }
 
+// isMalformed tells whether a connection's reader ended by what the peer sent, and not by
+// the peer's leaving.
+func isMalformed(err error) bool {
+	bad := (*link.Malformed)(nil)
+	return errors.As(err, &bad)
+}
+
 func (t *terminal) final(m *Message, a dispatch.Answer) bool {
 	body := a.Result
 	if a.Verdict != dispatch.Served {
@@ -155,9 +176,11 @@
 	return t.write(response(status, []byte(text+"\n"), 0, last)) && !last
 }
 
-func (t *terminal) malformed(m *Message, what string, err error) bool {
+// malformed gives the connection's last answer, so that it does not go on.
+func (t *terminal) malformed(what string, err error) (goes bool) {
 	t.log.Warn(what, "from", t.RemoteAddr().String(), "err", err)
-	return t.reply(m, http.StatusBadRequest, err.Error())
+	t.write(response(refusalStatus(err), []byte(err.Error()+"\n"), 0, true))
+	return false
 }
 
 // write sends one answer. A client that does not read it holds up its own connection only.
