Blame a region's 4xx on the request, and refuse the id of an open one

Checked: the 400s are ids that no client of that node sent. A probe on one node: a second request of an open id went through dispatch.Core.begin, and Regions.calls in internal/platform is keyed by id and region, so the first one's call-backs went to the second. Ruled out: region faults (the same regions serve others between two 400s).

At fault: Regions.carry gave every status but 202 and Srv-Declined to the policy as StatusError, which repeats a safe job and counts against the worker; Core knew requests by number only.

Done: balance.StatusUnfit: answered 400 at once, not repeated, not counted in its class's share; the region is held back only if it takes nothing else (some eight in a row). Core.begin refuses an id that is open or that a region has not let go of; the first request is unharmed. A Gearman job is named by a handle of ours and its ERROR is no verdict on the job, so this is for HTTP.

--- a/balance/api.go
+++ b/balance/api.go
@@ -74,6 +74,7 @@
 	StatusReset              // connection lost with the attempt out
 	StatusCancelled          // withdrawn
 	StatusMoot               // not sent: request over, time over, or too many attempts
+	StatusUnfit              // turned away for what it is: any worker would; the Host answers it
 )
 
 // NeverRan reports whether the status proves that the attempt had no effect.
@@ -82,7 +83,7 @@
 }
 
 func (s Status) String() string {
-	return [...]string{"ok", "error", "full", "timeout", "unreachable", "reset", "cancelled", "moot"}[s]
+	return [...]string{"ok", "error", "full", "timeout", "unreachable", "reset", "cancelled", "moot", "unfit"}[s]
 }
 
 // NoteKind tells what a worker says of a job that is still out.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -192,6 +192,7 @@
 	}
 	a := j.attempts[r.Attempt]
 	b.release(j, a)
+	j.unfit = j.unfit || r.Status == StatusUnfit
 	a.ran = !r.Status.NeverRan()
 	b.judge(j, a, r)
 	b.report(a.w, r.Report)
@@ -237,6 +238,13 @@
 		if w.errors > 0.4 {
 			b.hold(w, b.meanRun(), "errors")
 		}
+	case StatusUnfit:
+		// The job is at fault, so its worker must not be held back for it, or a few bad
+		// clients would shut a sound fleet. One that takes nothing else is at fault itself.
+		w.errors += (1 - w.errors) / 16
+		if w.errors > 0.4 {
+			b.hold(w, b.meanRun(), "refusals")
+		}
 	case StatusFull:
 		if b.crowd {
 			w.sure, w.sureAt, w.sign = -1, b.now, signNone
--- a/balance/state.go
+++ b/balance/state.go
@@ -104,6 +104,7 @@
 	over     bool
 	stream   bool
 	hold     time.Duration // not sent blindly before
+	unfit    bool          // no job that any worker could serve
 }
 
 type class struct {
@@ -361,7 +362,9 @@
 // finish forgets an ended job once its attempts are in, and cancels them.
 func (b *Balancer) finish(j *job) {
 	j.over = true
-	j.c.ended += b.weight(j)
+	if !j.unfit { // it tells nothing of how its class is served
+		j.c.ended += b.weight(j)
+	}
 	if j.queued {
 		j.queued = false
 		gone := func(o *job) bool { return o == j }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -40,6 +40,7 @@
 	balancer *balance.Balancer
 	now      time.Duration
 	jobs     map[balance.JobID]*Transaction
+	ids      map[string]*Transaction // what regions and call-backs may still name
 	nextJob  balance.JobID
 	members  map[balance.WorkerID]Region
 	deferred []func()
@@ -59,7 +60,7 @@
 func New(o Options) (*Core, error) {
 	c := &Core{settings: o.Settings, log: o.Log, hook: o.Hook, watching: o.Observers, clock: NewClock(),
 		events: make(chan func(), mailbox), closed: make(chan struct{}),
-		jobs: map[balance.JobID]*Transaction{}, members: map[balance.WorkerID]Region{}}
+		jobs: map[balance.JobID]*Transaction{}, ids: map[string]*Transaction{}, members: map[balance.WorkerID]Region{}}
 	if c.log == nil {
 		c.log = slog.New(slog.DiscardHandler)
 	}
@@ -157,6 +158,16 @@
 }
 
 func (c *Core) begin(tx *Transaction) {
+	// Regions and their call-backs know a request by its id alone: a second one of an id that
+	// is open would take the first one's outcome, or have it cancelled.
+	if c.ids[tx.ID] != nil {
+		c.log.Warn("id in use", "id", tx.ID)
+		tx.over = true
+		c.open.Add(-1)
+		tx.Terminal.Answer(Answer{Verdict: Failed, Unfit: true, Reason: "a request of this id is open"})
+		return
+	}
+	c.ids[tx.ID] = tx
 	c.nextJob++
 	tx.job, tx.end = c.nextJob, c.now+tx.Patience
 	c.jobs[tx.job] = tx
@@ -201,10 +212,26 @@
 	c.open.Add(-1)
 }
 
-// forget drops a transaction that is over and has no routed task out.
+// forget drops a transaction that is over and has no routed task out. Its id stays taken
+// while a region may still have a task of it, but not for longer than its client had patience:
+// a region that is gone never settles a cancel.
 func (c *Core) forget(tx *Transaction) {
-	if tx.over && tx.out == 0 {
-		delete(c.jobs, tx.job)
+	if !tx.over || tx.out > 0 {
+		return
+	}
+	delete(c.jobs, tx.job)
+	switch {
+	case len(tx.unsettled) == 0:
+		c.release(tx)
+	case tx.guard.index < 0:
+		tx.guard = c.after(max(0, tx.end-c.now), func() { c.release(tx) })
+	}
+}
+
+func (c *Core) release(tx *Transaction) {
+	if c.ids[tx.ID] == tx {
+		delete(c.ids, tx.ID)
+		c.stop(tx.guard)
 	}
 }
 
@@ -236,6 +263,7 @@
 				if t.Transaction.unsettled[t.Region.ID]--; t.Transaction.unsettled[t.Region.ID] <= 0 {
 					delete(t.Transaction.unsettled, t.Region.ID)
 				}
+				c.forget(t.Transaction)
 			}
 		}
 		c.ended(t, s, result)
@@ -254,8 +282,11 @@
 	if !t.unsent {
 		c.observe(func(o Observer) { o.Ended(t, s, c.now-t.sent) })
 	}
-	if s == balance.StatusOK {
+	switch s {
+	case balance.StatusOK:
 		c.answer(tx, Answer{Verdict: Served, Result: result})
+	case balance.StatusUnfit:
+		c.answer(tx, Answer{Verdict: Failed, Unfit: true, Reason: "a region turned the request itself away"})
 	}
 	c.balancer.Outcome(c.now, balance.Result{Job: tx.job, Attempt: t.No, Worker: t.Region.ID, Status: s,
 		Elapsed: c.now - t.sent, Closed: tx.over, Report: balance.NoReport()})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -32,6 +32,7 @@
 	Result     []byte        // Served: what the region gave
 	RetryAfter time.Duration // Refused: when to come back, 0 for no advice
 	Late       bool          // Failed: its time had run out
+	Unfit      bool          // Failed: the request itself is at fault, and would fail again
 	Reason     string        // not served: why, in a few words
 }
 
--- a/internal/daemon/scenario_test.go
+++ b/internal/daemon/scenario_test.go
@@ -31,7 +31,7 @@
 //	send 1 CLASS [half]        a client sends request 1, or the first half of its bytes
 //	send 1 rest                ... and the rest
 //	send a STATE 1             region a tells of request 1: started, running, done, failed, returned, lost
-//	send a MODE                region a is from now on: normal, silent (takes bytes, says nothing), full, dark (no connection comes up)
+//	send a MODE                region a is from now on: normal, silent (takes bytes, says nothing), full, unfit (400), dark (no connection comes up)
 //	send table a STATE         discovery tells of region a
 //	send dispatcher TERM       the daemon is told to end
 //	send dispatcher HUP NAME   ... to read its files again, which name this discovery, or are "faulty";
@@ -39,7 +39,7 @@
 //	send 1 raw "TEXT"          a connection of client 1 carries these bytes
 //	expect 1 raw "TEXT"        ... and is answered with bytes that hold these
 //	expect 1 closed            ... and ends
-//	expect 1 served|refused|failed
+//	expect 1 served|refused|failed|unfit
 //	expect a task 1            region a was given request 1
 //	expect a cancel 1          ... and told to give it up
 //	expect none                nothing has happened that no line expects
--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -328,6 +328,8 @@
 		return "served", true
 	case r.StatusCode == 503 && r.Header.Get("Retry-After") != "":
 		return "refused", true
+	case r.StatusCode == 400:
+		return "unfit", true
 	case r.StatusCode == 500 || r.StatusCode == 504:
 		return "failed", true
 	}
@@ -357,6 +359,9 @@
 		switch r.got(id, c) {
 		case "silent":
 			last = id
+		case "unfit":
+			r.forget(id)
+			_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
 		case "full":
 			r.forget(id)
 			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
--- a/internal/platform/regions.go
+++ b/internal/platform/regions.go
@@ -125,10 +125,20 @@
 		r.end(c, balance.StatusFull, nil)
 	default:
 		r.log.Warn("region answered", "status", code, "region", c.task.Region.Name, "id", c.task.Transaction.ID)
-		r.end(c, balance.StatusError, nil)
+		if isUnfit(code) {
+			r.end(c, balance.StatusUnfit, nil)
+		} else {
+			r.end(c, balance.StatusError, nil)
+		}
 	}
 }
 
+// isUnfit tells whether a status says that the request itself is at fault: what a bad client
+// sent would be turned away by every region, and says nothing of the one that did.
+func isUnfit(code int) bool {
+	return code/100 == 4 && code != http.StatusRequestTimeout && code != http.StatusTooManyRequests
+}
+
 // begin marks the request as on its way, unless the task has been given up.
 func (r *Regions) begin(c *call) bool {
 	r.mu.Lock()
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -173,6 +173,8 @@
 		return http.StatusOK
 	case a.Verdict == dispatch.Refused:
 		return http.StatusServiceUnavailable
+	case a.Unfit:
+		return http.StatusBadRequest
 	case a.Late:
 		return http.StatusGatewayTimeout
 	}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -167,7 +167,7 @@
 	if a.Verdict != dispatch.Served {
 		body = []byte(a.Reason + "\n")
 	}
-	last := m.Close || t.server.Draining()
+	last := m.Close || t.server.Draining() || a.Unfit
 	return t.write(response(statusOf(a), body, a.RetryAfter, last)) && !last
 }
 
