Hold a worker that fails what it starts back ever longer

Checked: each hold lasts one mean run (0.3 s) and the next is no longer, although hold() doubles with strikes. begin() in balance.go sets strikes to 0 at each start notice, and this region starts every job before it fails it. A unit probe sends 44 jobs in 20 s to a worker that fails all. Ruled out: a 4xx (its word is the call-back 'failed').

Done: a start resets the strikes only while the share of errors is low. Test: TestStartsDoNotExcuseErrors, 44 jobs before, 8 at most now.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,7 @@
 	fair       = 0.75                   // a chance below which the queue counts as too long
 	bearable   = 0.9                    // of a predicted wait counts: some of the queue will leave it
 	leastBack  = 50 * time.Millisecond  // a client sent away stays away this long at least
+	failing    = 0.4                    // smoothed share of errors at which a worker is held back
 	margin     = time.Millisecond       // answers of our own leave this long before patience ends
 )
 
@@ -154,7 +155,9 @@
 		b.found(a, 1)
 	}
 	w.running += j.Slots
-	w.strikes = 0
+	if w.errors <= failing { // a start shows that it is there, not that it is sound
+		w.strikes = 0
+	}
 	lag := (b.now - a.sent).Seconds()
 	if b.crowd && !j.over {
 		if late && b.chance(j, 0) < fair {
@@ -235,14 +238,14 @@
 	case StatusError:
 		// Fast failures free slots and would attract ever more work.
 		w.errors += (1 - w.errors) / 4
-		if w.errors > 0.4 {
+		if w.errors > failing {
 			b.hold(w, b.meanRun(), "errors")
 		}
 	case StatusUnfit:
 		// The job is at fault, so its worker must not be held back for it, or a few bad
 		// clients would shut a sound fleet. One that takes nothing else is at fault itself.
 		w.errors += (1 - w.errors) / 16
-		if w.errors > 0.4 {
+		if w.errors > failing {
 			b.hold(w, b.meanRun(), "refusals")
 		}
 	case StatusFull:
--- a/balance/danger_test.go
+++ b/balance/danger_test.go
@@ -250,6 +250,33 @@
 	}
 }
 
+// A worker that begins jobs and then fails them is held back ever longer: its starts are no
+// sign of health, or each short hold would end in another lost job.
+func TestStartsDoNotExcuseErrors(t *testing.T) {
+	b, r := fixture(t, settings(), 1)
+	for id, at := JobID(1), time.Second; at < 21*time.Second; id, at = id+1, at+100*ms {
+		before := len(r.sends)
+		request(b, at, id, unsafe)
+		if len(r.sends) > before {
+			start(b, at+5*ms, r.last())
+			end(b, at+20*ms, r.last(), StatusError)
+		}
+	}
+	if len(r.sends) > 8 {
+		t.Fatalf("%d jobs went to a worker that fails all", len(r.sends))
+	}
+	w := b.byID[1]
+	for w.errors > failing { // one that has mended is trusted again
+		w.held = 0
+		request(b, 30*time.Second, 1000+JobID(len(r.sends)), unsafe)
+		start(b, 30*time.Second, r.last())
+		end(b, 30*time.Second, r.last(), StatusOK)
+	}
+	if w.strikes != 0 {
+		t.Fatalf("%d strikes", w.strikes)
+	}
+}
+
 // A restarted worker is another machine but for its name.
 func TestRestartForgetsOldHealth(t *testing.T) {
 	b, _ := fixture(t, settings(), 1)
