Answer what comes after SIGTERM before the process may be killed

Found on the way, by reading PROTOCOL: what comes more than 0.7 s after SIGTERM and is unanswered at SIGKILL is lost, which breaks a rule. Core.begin gave such a request its whole patience. Done: Core.Drain(within); what comes later is failed 0.2 s before the kill may come (the longest deadline, 3 s at most, plus 0.7 s).

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -46,6 +46,7 @@
 	deferred []func()
 	timers   timers
 	active   int
+	ends     time.Duration // when the process will end, 0 while that is not known
 }
 
 // Options are the parts that a Core works with. All but Settings may be left out.
@@ -167,14 +168,20 @@
 		tx.Terminal.Answer(Answer{Verdict: Failed, Unfit: true, Reason: "a request of this id is open"})
 		return
 	}
+	limit := tx.Patience + overdue
+	if c.ends > 0 {
+		limit = max(0, min(limit, c.ends-c.now))
+	}
 	c.ids[tx.ID] = tx
 	c.nextJob++
 	tx.job, tx.end = c.nextJob, c.now+tx.Patience
 	c.jobs[tx.job] = tx
 	c.observe(func(o Observer) { o.Began(tx) })
-	tx.guard = c.after(tx.Patience+overdue, func() {
+	tx.guard = c.after(limit, func() {
 		if !tx.over {
-			c.log.Error("answer overdue", "id", tx.ID)
+			if c.now >= tx.end {
+				c.log.Error("answer overdue", "id", tx.ID)
+			}
 			c.answer(tx, Answer{Verdict: Failed, Late: true, Reason: "deadline"})
 			c.balancer.Gone(c.now, tx.job)
 		}
@@ -183,6 +190,11 @@
 		Patience: tx.Patience, Hint: tx.Hint, Slots: tx.Slots, Memory: tx.Memory})
 }
 
+// Drain tells that the process may be ended in so long. Whatever comes from now on is answered
+// before that: what is taken and not answered is lost. What came before keeps its time, as far
+// as the process is given it.
+func (c *Core) Drain(within time.Duration) { c.post(func() { c.ends = c.now + within }) }
+
 // Leave takes word that the client is gone: no answer is owed any more.
 func (c *Core) Leave(tx *Transaction) {
 	c.post(func() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,12 @@
 	terminalShare = 0.6
 	// memoryShare of the limit is where the collector begins to work hard.
 	memoryShare = 0.75
+	// The platform kills a process that it has told to end no earlier than the longest
+	// deadline, taken as longestWait where it is longer, plus killPast after that. Answers are
+	// out beforeKill ahead of it.
+	longestWait = 3 * time.Second
+	killPast    = 700 * time.Millisecond
+	beforeKill  = 200 * time.Millisecond
 	// lastWords is how long cancels of losers may take to leave at the end.
 	lastWords = 50 * time.Millisecond
 )
@@ -49,7 +55,7 @@
 // front is one protocol's side, with a core of its own for its own fleet.
 type front interface {
 	Serve(net.Listener) error
-	Drain(context.Context)
+	Drain(ctx context.Context, within time.Duration)
 }
 
 // Run serves until the context ends, then drains.
@@ -140,15 +146,25 @@
 		return err
 	case <-ctx.Done():
 	}
+	within := d.untilKilled() - beforeKill
 	var drained sync.WaitGroup
 	for _, f := range fronts {
-		drained.Go(func() { f.Drain(inner) })
+		drained.Go(func() { f.Drain(inner, within) })
 	}
 	drained.Wait()
 	time.Sleep(lastWords)
 	return nil
 }
 
+// untilKilled is how long the process has at least from the word to end.
+func (d *Daemon) untilKilled() time.Duration {
+	deadline := time.Duration(0)
+	for _, c := range d.Config.Settings.Classes {
+		deadline = max(deadline, c.Deadline)
+	}
+	return min(deadline, longestWait) + killPast
+}
+
 // core makes a front's core, with the scripts and the telemetry that watch it.
 func (d *Daemon) core(ctx context.Context, front string, files []string, spans *telemetry.Telemetry,
 	log *slog.Logger) (*dispatch.Core, error) {
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
@@ -62,8 +63,12 @@
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error { return s.server.Serve(l) }
 
-// Drain goes on taking what comes for a while and returns when every job is answered.
-func (s *Server) Drain(ctx context.Context) { s.server.Drain(ctx, s.core.Open) }
+// Drain goes on taking what comes for a while and returns when every job is answered. The
+// process may be killed after within.
+func (s *Server) Drain(ctx context.Context, within time.Duration) {
+	s.core.Drain(within)
+	s.server.Drain(ctx, s.core.Open)
+}
 
 // client is one connection from a client, with any number of jobs up to the bound.
 type client struct {
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -40,9 +41,11 @@
 }
 
 // Drain ends service: it goes on taking what comes, closes connections after their answers,
-// and returns when all that was taken is answered and no more is to be expected.
-func (s *Server) Drain(ctx context.Context) {
+// and returns when all that was taken is answered and no more is to be expected. The process
+// may be killed after within.
+func (s *Server) Drain(ctx context.Context, within time.Duration) {
 	s.ready.Store(false)
+	s.core.Drain(within)
 	s.server.Drain(ctx, s.core.Open)
 }
 
