Gearman: keep a connection in use until its final answer is written

So a taken job could lose its answer at each restart.

Done: the writer ends the job's use of the connection once its answer is written.

The platform's front is not touched.

--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -70,14 +70,21 @@
 	s.server.Drain(ctx, s.core.Open)
 }
 
+// outgoing is a packet that waits to be written.
+type outgoing struct {
+	data  []byte
+	final bool // a job's final answer: the job keeps the connection busy until this is written
+}
+
 // client is one connection from a client, with any number of jobs up to the bound.
 type client struct {
 	*link.Peer
 	*Server
-	out        chan []byte
+	out        chan outgoing
 	done       chan struct{}
 	exceptions bool // guarded by Server.mu, as is jobs
 	jobs       map[string]*terminal
+	settled    chan struct{} // no job is open
 }
 
 // terminal is one job's side of a client's connection.
@@ -90,20 +97,26 @@
 }
 
 func (s *Server) handle(p *link.Peer) {
-	c := &client{Peer: p, Server: s, out: make(chan []byte, outbox), done: make(chan struct{}), jobs: map[string]*terminal{}}
+	c := &client{Peer: p, Server: s, out: make(chan outgoing, outbox), done: make(chan struct{}), jobs: map[string]*terminal{},
+		settled: make(chan struct{}, 1)}
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
 		c.write()
 	}()
 	err := link.Read(c.Conn, NewRequestFramer(), c.packet)
-	if bad := (*link.Malformed)(nil); errors.As(err, &bad) {
+	bad := (*link.Malformed)(nil)
+	malformed := errors.As(err, &bad)
+	if malformed { // the client is still there, and is owed its jobs' answers first
 		s.log.Warn("malformed packet", "from", c.RemoteAddr().String(), "err", err)
+		for c.open() > 0 {
+			<-c.settled
+		}
 		c.send(Response(Error, codeMalformed, err.Error()))
 	}
 	close(c.done)
 	<-written
-	if bad := (*link.Malformed)(nil); errors.As(err, &bad) {
+	if malformed {
 		p.Linger(c.done)
 	}
 	// The client is gone, and no one waits for its jobs.
@@ -119,30 +132,44 @@
 	}
 }
 
+func (c *client) open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.jobs)
+}
+
 // write sends what is in the outbox, and at the end what is left of it.
 func (c *client) write() {
 	for {
 		select {
-		case data := <-c.out:
-			if _, err := link.Write(c.Conn, data); err != nil {
+		case p := <-c.out:
+			if !c.put(p) {
 				_ = c.Close()
 				return
 			}
 		case <-c.done:
-			for len(c.out) > 0 {
-				if _, err := link.Write(c.Conn, <-c.out); err != nil {
-					return
-				}
+			for len(c.out) > 0 && c.put(<-c.out) {
 			}
 			return
 		}
 	}
 }
 
-// send hands a packet to the connection's writer and never waits for it.
-func (c *client) send(data []byte) {
+func (c *client) put(p outgoing) bool {
+	_, err := link.Write(c.Conn, p.data)
+	if p.final {
+		c.Busy(-1)
+	}
+	return err == nil
+}
+
+// send hands a packet to the connection's writer and never waits for it. A drain closes idle
+// connections, so one is in use until its last answer is written, not just until it is here.
+func (c *client) send(data []byte) { c.hand(outgoing{data: data}) }
+
+func (c *client) hand(p outgoing) {
 	select {
-	case c.out <- data:
+	case c.out <- p:
 	default:
 		c.log.Warn("slow reader closed", "to", c.RemoteAddr().String())
 		_ = c.Close()
@@ -233,23 +260,30 @@
 	delete(t.jobs, t.handle)
 	delete(t.terminals, t.handle)
 	exceptions := t.exceptions
+	if len(t.jobs) == 0 {
+		defer func() {
+			select {
+			case t.settled <- struct{}{}:
+			default:
+			}
+		}()
+	}
 	t.mu.Unlock()
 	if !open { // the client is gone
 		return
 	}
+	data := Response(WorkFail, t.handle)
 	switch {
 	case a.Verdict == dispatch.Served:
-		t.send(Response(WorkComplete, t.handle, string(a.Result)))
+		data = Response(WorkComplete, t.handle, string(a.Result))
 	case a.Verdict == dispatch.Refused && exceptions:
 		reason := "refused: " + a.Reason
 		if a.RetryAfter > 0 {
 			reason += fmt.Sprintf("; retry after %.3f s", a.RetryAfter.Seconds())
 		}
-		t.send(Response(WorkException, t.handle, reason))
-	default:
-		t.send(Response(WorkFail, t.handle))
+		data = Response(WorkException, t.handle, reason)
 	}
-	t.Busy(-1)
+	t.hand(outgoing{data, true})
 }
 
 // Progress passes a region's progress on. Copies of one job tell of theirs too: only an
