Look for room again within a quarter of a mean run, not after four

Checked: a probe logged the policy's view four times a second. At 13 to 15 s it ran 3 or 4 jobs on 11 machines of 2 or 3 cores: it took most for one slot and those for held by unseen dispatchers ('781b 0/1+1', 'dbcc 0/2+2' unchanged from 5 s to 15 s), and its tries beyond that view, the only evidence that frees a slot, were up to 4 mean runs apart (2^tries, tries to 6, in send()).

Done: two doublings at most; a worker still holds one try that waits.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,6 +29,7 @@
 	bearable   = 0.9                    // of a predicted wait counts: some of the queue will leave it
 	leastBack  = 50 * time.Millisecond  // a client sent away stays away this long at least
 	failing    = 0.4                    // smoothed share of errors at which a worker is held back
+	mostTries  = 2                      // doublings of the wait between tries beyond what is known; see send
 	margin     = time.Millisecond       // answers of our own leave this long before patience ends
 )
 
@@ -530,8 +531,10 @@
 	if !free {
 		a.beyond = true
 		w.nextTry = b.now + seconds(b.meanRun())
+		// Only tries show that unseen dispatchers have left a worker. Waits of several runs
+		// between them left the fleet idle and its work refused; each worker holds one at most.
 		b.nextTry = b.now + seconds(b.meanRun()/16*math.Pow(2, float64(b.tries)))
-		b.tries = min(b.tries+1, 6)
+		b.tries = min(b.tries+1, mostTries)
 	}
 	if j.out == 1 {
 		b.running = append(b.running, j)
--- a/balance/danger_test.go
+++ b/balance/danger_test.go
@@ -149,6 +149,25 @@
 	}
 }
 
+// Where unseen dispatchers were found to hold the slots, only a try beyond that view can show
+// that they have left. Long waits between tries left the fleet idle and refused its work.
+func TestTriesFindRoomThatOthersLeft(t *testing.T) {
+	s := settings()
+	s.Classes[unsafe].Aim = s.Classes[unsafe].Deadline // none is given up here
+	b, r := fixture(t, s, 8)
+	for _, w := range b.workers {
+		w.others = b.estimate(w)
+	}
+	run := seconds(b.meanRun())
+	for id := range JobID(8) {
+		request(b, time.Second, id+1, unsafe)
+	}
+	pass(b, r, time.Second, time.Second+3*run/2)
+	if len(r.sends) < 8 {
+		t.Fatalf("%d of 8 workers were tried in one and a half mean runs (%v)", len(r.sends), run)
+	}
+}
+
 // Work that the queue could not bear was held for its client's whole patience, so that the
 // terminal waited for nothing. It is given up by least worth, refused at once, and told
 // when to come back; the densest job, once given up for its own predicted wait, stays.
