Keep the connections of clients that stay while the process drains

Clients do use what they have, as PROTOCOL says, until one of them needs a new connection after 0.4 s; then the node counts as gone. We closed connections with the first answer after SIGTERM and idle ones after 1 s.

Done: connections stay until 2.8 s (0.9 s before the kill may come), or until all clients have left; a refusal does not close one. What comes in the first 0.5 s keeps its own time, later requests are answered before the kill as before.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -18,6 +18,9 @@
 	// A cancel that a region does not settle keeps its slot busy for this many connect
 	// time-outs; then the balancer is told that the task is cancelled.
 	cancelWaits = 2
+	// elsewhere is when a client may come back whose job would outlast this process: another
+	// dispatcher takes it at once.
+	elsewhere = 50 * time.Millisecond
 	// busyBack is when a client may come back that met too many open transactions.
 	busyBack = time.Second
 )
@@ -170,7 +173,15 @@
 	}
 	limit := tx.Patience + overdue
 	if c.ends > 0 {
-		limit = max(0, min(limit, c.ends-c.now))
+		left := c.ends - c.now
+		if left <= 0 {
+			tx.over = true
+			c.open.Add(-1)
+			tx.Terminal.Answer(Answer{Verdict: Refused, RetryAfter: min(elsewhere, c.settings.MaxRetryAfter),
+				Reason: "this dispatcher ends before the job could"})
+			return
+		}
+		limit = min(limit, left)
 	}
 	c.ids[tx.ID] = tx
 	c.nextJob++
@@ -190,10 +201,15 @@
 		Patience: tx.Patience, Hint: tx.Hint, Slots: tx.Slots, Memory: tx.Memory})
 }
 
-// Drain tells that the process may be ended in so long. Whatever comes from now on is answered
-// before that: what is taken and not answered is lost. What came before keeps its time, as far
-// as the process is given it.
-func (c *Core) Drain(within time.Duration) { c.post(func() { c.ends = c.now + within }) }
+// Drain tells that the process may be ended in so long. What comes once free has passed is
+// answered before that, and refused unsent if it would take longer: what is taken and not
+// answered is lost. What came before keeps its time, as far as the process is given it.
+func (c *Core) Drain(free, within time.Duration) {
+	c.post(func() {
+		ends := c.now + within
+		c.after(free, func() { c.ends = ends })
+	})
+}
 
 // Leave takes word that the client is gone: no answer is owed any more.
 func (c *Core) Leave(tx *Transaction) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"tinroute.example/tinroute/internal/config"
 	"tinroute.example/tinroute/internal/gearman"
 	"tinroute.example/tinroute/internal/hook"
+	"tinroute.example/tinroute/internal/link"
 	"tinroute.example/tinroute/internal/platform"
 	"tinroute.example/tinroute/internal/telemetry"
 )
@@ -31,11 +32,13 @@
 	// memoryShare of the limit is where the collector begins to work hard.
 	memoryShare = 0.75
 	// The platform kills a process that it has told to end no earlier than the longest
-	// deadline, taken as longestWait where it is longer, plus killPast after that. Answers are
-	// out beforeKill ahead of it.
+	// deadline, taken as longestWait where it is longer, plus killPast after that, and it does
+	// not ask for what came after killPast and is unanswered then. Answers are out beforeKill
+	// ahead of it, and clients are sent away early enough for what they ask last to be served.
 	longestWait = 3 * time.Second
 	killPast    = 700 * time.Millisecond
 	beforeKill  = 200 * time.Millisecond
+	lastAsked   = 700 * time.Millisecond
 	// lastWords is how long cancels of losers may take to leave at the end.
 	lastWords = 50 * time.Millisecond
 )
@@ -55,7 +58,7 @@
 // front is one protocol's side, with a core of its own for its own fleet.
 type front interface {
 	Serve(net.Listener) error
-	Drain(ctx context.Context, within time.Duration)
+	Drain(context.Context, link.Grace)
 }
 
 // Run serves until the context ends, then drains.
@@ -149,7 +152,9 @@
 	within := d.untilKilled() - beforeKill
 	var drained sync.WaitGroup
 	for _, f := range fronts {
-		drained.Go(func() { f.Drain(inner, within) })
+		drained.Go(func() {
+			f.Drain(inner, link.Grace{Free: killPast - beforeKill, Stay: within - lastAsked, Within: within})
+		})
 	}
 	drained.Wait()
 	time.Sleep(lastWords)
--- a/internal/daemon/scenario_test.go
+++ b/internal/daemon/scenario_test.go
@@ -287,6 +287,9 @@
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run(ctx); w.happened("dispatcher ended") }()
 	defer func() {
+		for _, c := range w.clients { // it would wait for those that stay
+			_ = c.Close()
+		}
 		stop()
 		require.NoError(t, <-ended)
 		w.table.close()
@@ -296,9 +299,6 @@
 		for _, r := range w.regions {
 			r.close()
 		}
-		for _, c := range w.clients {
-			_ = c.Close()
-		}
 		w.settle()
 	}()
 	for w.settle(); !w.table.asked(); w.settle() { // the daemon is up once it watches the table
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
@@ -63,11 +62,11 @@
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error { return s.server.Serve(l) }
 
-// Drain goes on taking what comes for a while and returns when every job is answered. The
-// process may be killed after within.
-func (s *Server) Drain(ctx context.Context, within time.Duration) {
-	s.core.Drain(within)
-	s.server.Drain(ctx, s.core.Open)
+// Drain goes on taking what comes, for as long as g says while there are clients, and returns
+// when every job is answered.
+func (s *Server) Drain(ctx context.Context, g link.Grace) {
+	s.core.Drain(g.Free, g.Within)
+	s.server.Drain(ctx, s.core.Open, g.Stay)
 }
 
 // outgoing is a packet that waits to be written.
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -32,13 +32,21 @@
 	lingerMost = 256 << 10
 )
 
+// Grace is how a process that is told to end may use its last time.
+type Grace struct {
+	Free   time.Duration // what comes until then keeps its own time
+	Stay   time.Duration // clients are kept until then
+	Within time.Duration // what comes after Free is answered by then
+}
+
 // Server accepts connections, holds a bounded number of them, and drains.
 type Server struct {
 	Log    *slog.Logger
 	Most   int         // connections at once
 	Handle func(*Peer) // serves one until its end
 
-	draining atomic.Bool
+	draining atomic.Bool // told to end
+	leaving  atomic.Bool // connections end after their next answer
 	mu       sync.Mutex
 	peers    map[*Peer]bool
 	changed  chan struct{} // one has ended
@@ -105,6 +113,9 @@
 // Draining tells whether the server has been told to end.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
+// Leaving tells whether connections are to end after their next answer.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
 // Serve accepts until the listener is closed. At the limit it waits with one more in hand: the
 // listen queue holds what comes, rather than the process dying of it.
 func (s *Server) Serve(l net.Listener) error {
@@ -232,21 +243,24 @@
 }
 
 // Drain goes on serving what comes for a while, then closes idle connections, and returns
-// when nothing is in work and open tells of nothing that is owed an answer.
-func (s *Server) Drain(ctx context.Context, open func() int) {
+// when nothing is in work and open tells of nothing that is owed an answer. Clients that stay
+// are kept for as long as stay: while other dispatchers restart too, a client whose connection
+// is closed may find none to go to.
+func (s *Server) Drain(ctx context.Context, open func() int, stay time.Duration) {
 	s.draining.Store(true)
 	s.Log.Info("draining", "open", open())
 	tick := time.NewTicker(lookAgain)
 	defer tick.Stop()
-	for until := time.Now().Add(acceptPast); ; {
+	for began := time.Now(); ; {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 			return
 		}
-		if time.Now().Before(until) {
+		if past := time.Since(began); past < acceptPast || past < stay && s.clients() {
 			continue
 		}
+		s.leaving.Store(true)
 		if s.closeIdle(false) == 0 && open() == 0 {
 			s.closeIdle(true)
 			s.Log.Info("drained")
@@ -255,6 +269,18 @@
 	}
 }
 
+// clients tells whether connections of clients are open.
+func (s *Server) clients() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p := range s.peers {
+		if p.proven && !p.keep && !p.leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // closeIdle closes idle connections, the kept ones only if all is set, and returns how many
 // are busy.
 func (s *Server) closeIdle(all bool) (busy int) {
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -40,13 +39,13 @@
 	return s.server.Serve(l)
 }
 
-// Drain ends service: it goes on taking what comes, closes connections after their answers,
-// and returns when all that was taken is answered and no more is to be expected. The process
-// may be killed after within.
-func (s *Server) Drain(ctx context.Context, within time.Duration) {
+// Drain ends service: it goes on taking what comes, for as long as g says while there are
+// clients, then closes connections after their answers, and returns when all that was taken
+// is answered.
+func (s *Server) Drain(ctx context.Context, g link.Grace) {
 	s.ready.Store(false)
-	s.core.Drain(within)
-	s.server.Drain(ctx, s.core.Open)
+	s.core.Drain(g.Free, g.Within)
+	s.server.Drain(ctx, s.core.Open, g.Stay)
 }
 
 func (s *Server) handle(p *link.Peer) {
@@ -170,7 +169,7 @@
 	if a.Verdict != dispatch.Served {
 		body = []byte(a.Reason + "\n")
 	}
-	last := m.Close || t.server.Draining() || a.Unfit
+	last := m.Close || t.server.Leaving() || a.Unfit
 	return t.write(response(statusOf(a), body, a.RetryAfter, last)) && !last
 }
 
