Gearman: coalesce jobs, keep background ones on disk, serve the text protocol

Need: gearadmin had its socket closed, gearman -b got ERROR, a unique id ran once for every submitter, and a tool that repeated a refused packet made the daemon write 164,824 lines in 3 s.

Change: jobbook keeps open jobs and their waiters, jobstore keeps background jobs on bbolt with group commit, recovery decides what becomes of them after a crash or a failure, background drives both; gearman serves the rest of its clients' packets and the text protocol. balance takes word of an earlier attempt that may have run (Job.Earlier), so that a keyed job goes on in its group. Complaints are logged once for each peer, reason and minute on both fronts. The store is off unless configured.

--- a/balance/api.go
+++ b/balance/api.go
@@ -180,6 +180,15 @@
 	Hint     time.Duration // expected work at speed 1; 0 for none
 	Slots    float64
 	Memory   float64
+	Earlier  *Earlier // nil where no attempt from before may have run
+}
+
+// Earlier is the first attempt at a job from before its Request, as a queue that outlives the
+// process knows of it, that may have had its effect. It binds later attempts as one of the
+// Balancer's own would.
+type Earlier struct {
+	Zone, Cell int           // of its worker
+	Ago        time.Duration // since it was sent
 }
 
 // Report is a worker's word about its load; a negative figure is absent.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -78,6 +78,9 @@
 	}
 	c := &b.classes[r.Class]
 	j := &job{Job: r, c: c, end: now + r.Patience, born: now - max(0, c.Deadline-r.Patience)}
+	if e := r.Earlier; e != nil { // a repeat must be as harmless as if it were ours
+		j.earlier = &attempt{j: j, no: -1, w: &worker{Member: Member{Zone: e.Zone, Cell: e.Cell}}, sent: now - e.Ago, done: true, ran: true}
+	}
 	b.jobs[r.ID] = j
 	j.worth = c.Worth * b.share(r.Tenant)
 	b.enqueue(j)
@@ -338,7 +341,7 @@
 	if !b.maySend(j) || j.c.Kind >= 0 && j.c.Kind != w.Kind {
 		return false
 	}
-	var first *attempt
+	first := j.earlier
 	for _, a := range j.attempts {
 		if !a.done && (j.c.Effect != Safe || !b.s.SecondCopies || a.w == w) {
 			return false // a second copy could double an effect
--- a/balance/state.go
+++ b/balance/state.go
@@ -105,6 +105,7 @@
 	stream   bool
 	hold     time.Duration // not sent blindly before
 	unfit    bool          // no job that any worker could serve
+	earlier  *attempt      // from before the Request; see Job.Earlier
 }
 
 type class struct {
@@ -303,6 +304,9 @@
 
 // firstRan is the earliest attempt that may have run, or nil.
 func (j *job) firstRan() *attempt {
+	if j.earlier != nil {
+		return j.earlier
+	}
 	for _, a := range j.attempts {
 		if a.ran {
 			return a
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tinroute.example/tinroute/balance"
+	"tinroute.example/tinroute/internal/complain"
 )
 
 const (
@@ -29,6 +30,7 @@
 type Core struct {
 	settings balance.Settings
 	log      *slog.Logger
+	complain *complain.Book // what clients cause, which must not flood the log
 	clock    Clock
 	regions  Regions
 	table    ServiceTable
@@ -68,6 +70,7 @@
 	if c.log == nil {
 		c.log = slog.New(slog.DiscardHandler)
 	}
+	c.complain = complain.New(c.log, nil)
 	var err error
 	c.balancer, err = balance.New(o.Settings, host{c})
 	return c, err
@@ -153,7 +156,7 @@
 	}
 	if int(c.open.Add(1)) > c.settings.MaxOpen && c.settings.MaxOpen > 0 {
 		c.open.Add(-1)
-		c.log.Warn("refused", "id", tx.ID, "open", c.settings.MaxOpen)
+		c.complain.Complain("refused", nil, "too many open", "id", tx.ID, "open", c.settings.MaxOpen)
 		tx.Terminal.Answer(Answer{Verdict: Refused, RetryAfter: min(busyBack, c.settings.MaxRetryAfter),
 			Reason: "too many open requests"})
 		return
@@ -162,10 +165,14 @@
 }
 
 func (c *Core) begin(tx *Transaction) {
+	if tx.over { // it was given up by another goroutine than the one that submits it
+		c.open.Add(-1)
+		return
+	}
 	// Regions and their call-backs know a request by its id alone: a second one of an id that
 	// is open would take the first one's outcome, or have it cancelled.
 	if c.ids[tx.ID] != nil {
-		c.log.Warn("id in use", "id", tx.ID)
+		c.complain.Complain("id in use", nil, "id", "id", tx.ID)
 		tx.over = true
 		c.open.Add(-1)
 		tx.Terminal.Answer(Answer{Verdict: Failed, Unfit: true, Reason: "a request of this id is open"})
@@ -198,7 +205,7 @@
 		}
 	})
 	c.balancer.Request(c.now, balance.Job{ID: tx.job, Class: tx.Class, Tenant: tx.Tenant, Key: tx.Key,
-		Patience: tx.Patience, Hint: tx.Hint, Slots: tx.Slots, Memory: tx.Memory})
+		Patience: tx.Patience, Hint: tx.Hint, Slots: tx.Slots, Memory: tx.Memory, Earlier: tx.Earlier})
 }
 
 // Drain tells that the process may be ended in so long. What comes once free has passed is
@@ -214,6 +221,9 @@
 // Leave takes word that the client is gone: no answer is owed any more.
 func (c *Core) Leave(tx *Transaction) {
 	c.post(func() {
+		if tx.job == 0 {
+			tx.over = true
+		}
 		if !tx.over {
 			c.close(tx)
 			c.observe(func(o Observer) { o.Left(tx) })
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -62,7 +62,8 @@
 	Memory   float64
 	Payload  any // the front's own; drivers find it at each routed task
 	Terminal Terminal
-	Trace    string // a traceparent that the client sent, or empty
+	Trace    string           // a traceparent that the client sent, or empty
+	Earlier  *balance.Earlier // an attempt from before the Submit that may have run, or nil
 
 	job       balance.JobID
 	end       time.Duration
--- a/internal/config/gearman.go
+++ b/internal/config/gearman.go
@@ -9,14 +9,47 @@
 	"github.com/BurntSushi/toml"
 
 	"tinroute.example/tinroute/balance"
+	"tinroute.example/tinroute/internal/jobbook"
+	"tinroute.example/tinroute/internal/recovery"
 )
 
+// Defaults for what the second front's file leaves out.
+const (
+	defaultPerClient  = 64
+	defaultJobs       = 20_000
+	defaultBytes      = 64 << 20
+	defaultStoredJobs = 2_000_000
+	defaultStored     = 2 << 30
+	defaultOffers     = 8
+	defaultSends      = 64
+	defaultBackoff    = time.Second
+	defaultBackoffTop = 5 * time.Minute
+	defaultExpiry     = 24 * time.Hour
+	defaultWindow     = 64
+	defaultUnsent     = 2
+	defaultRate       = 500
+	defaultWait       = 50 * time.Millisecond
+)
+
+// Store is where background jobs are kept.
+type Store struct {
+	Path     string
+	MaxJobs  int
+	MaxBytes int64
+	MaxFile  int64 // 0 for no bound
+}
+
 // Gearman is the second front's file.
 type Gearman struct {
 	Listen    string
 	Discovery string
 	Hooks     []string            // script files, in the order they are asked
 	Functions map[string]Function // one for each class, named as the class
+	Shutdown  bool                // the text protocol may end the process
+	Limits    jobbook.Limits
+	Store     *Store // nil where background jobs are off
+	Retry     recovery.Limits
+	Pace      recovery.PaceLimits
 }
 
 // Function holds what a Gearman job, which says nothing of these, is taken to ask for.
@@ -50,7 +83,33 @@
 			Deadline string `toml:"deadline"`
 			Tenant   string `toml:"tenant"`
 			Cost     string `toml:"cost"`
+			MaxQueue int    `toml:"maxqueue"`
 		} `toml:"function"`
+		Shutdown bool `toml:"shutdown"`
+		Limits   struct {
+			PerClient *int64 `toml:"jobs_per_connection"`
+			Jobs      *int64 `toml:"jobs"`
+			Bytes     *int64 `toml:"bytes"`
+		} `toml:"limits"`
+		Store struct {
+			Path     string `toml:"path"`
+			MaxJobs  *int64 `toml:"max_jobs"`
+			MaxBytes *int64 `toml:"max_bytes"`
+			MaxFile  *int64 `toml:"max_file_bytes"`
+		} `toml:"store"`
+		Retry struct {
+			Offers  *int64 `toml:"offers"`
+			Sends   *int64 `toml:"sends"`
+			Backoff string `toml:"backoff"`
+			Most    string `toml:"backoff_most"`
+			Expiry  string `toml:"expiry"`
+		} `toml:"retry"`
+		Pace struct {
+			Window *int64 `toml:"window"`
+			Unsent *int64 `toml:"unsent"`
+			Rate   *int64 `toml:"rate"`
+			Wait   string `toml:"foreground_wait"`
+		} `toml:"pace"`
 	}
 	meta, err := toml.Decode(text, &file)
 	if err != nil {
@@ -65,7 +124,37 @@
 	case file.Discovery == "":
 		return nil, fmt.Errorf("discovery: missing")
 	}
-	g := &Gearman{Listen: file.Listen, Discovery: file.Discovery, Hooks: file.Hooks, Functions: map[string]Function{}}
+	g := &Gearman{Listen: file.Listen, Discovery: file.Discovery, Hooks: file.Hooks, Functions: map[string]Function{},
+		Shutdown: file.Shutdown, Limits: jobbook.Limits{PerFunction: map[string]int{}}}
+	c := checker{}
+	g.Limits.PerClient = int(c.count("limits.jobs_per_connection", file.Limits.PerClient, defaultPerClient, 4096))
+	g.Limits.Jobs = int(c.count("limits.jobs", file.Limits.Jobs, defaultJobs, 1<<30))
+	g.Limits.Bytes = int(c.count("limits.bytes", file.Limits.Bytes, defaultBytes, 1<<40))
+	g.Retry = recovery.Limits{Offers: int(c.count("retry.offers", file.Retry.Offers, defaultOffers, 1000)),
+		Sends: int(c.count("retry.sends", file.Retry.Sends, defaultSends, 10_000)),
+		Base:  c.time("retry.backoff", file.Retry.Backoff, defaultBackoff), Most: c.time("retry.backoff_most", file.Retry.Most, defaultBackoffTop),
+		Expiry: c.time("retry.expiry", file.Retry.Expiry, defaultExpiry)}
+	if g.Retry.Most < g.Retry.Base {
+		c.fail("retry.backoff_most: %v is under retry.backoff", g.Retry.Most)
+	}
+	g.Pace = recovery.PaceLimits{Window: int(c.count("pace.window", file.Pace.Window, defaultWindow, 4096)),
+		Waiting: int(c.count("pace.unsent", file.Pace.Unsent, defaultUnsent, 4096)),
+		Rate:    float64(c.count("pace.rate", file.Pace.Rate, defaultRate, 1_000_000)),
+		Wait:    c.time("pace.foreground_wait", file.Pace.Wait, defaultWait)}
+	st := &Store{Path: file.Store.Path, MaxJobs: int(c.count("store.max_jobs", file.Store.MaxJobs, defaultStoredJobs, 1<<40)),
+		MaxBytes: c.count("store.max_bytes", file.Store.MaxBytes, defaultStored, 1<<50)}
+	if file.Store.MaxFile != nil {
+		st.MaxFile = c.count("store.max_file_bytes", file.Store.MaxFile, 0, 1<<50)
+	}
+	switch {
+	case st.Path != "":
+		g.Store = st
+	case meta.IsDefined("store"):
+		c.fail("store.path: missing")
+	}
+	if c.err != nil {
+		return nil, c.err
+	}
 	for i, c := range s.Classes {
 		g.Functions[c.Name] = Function{Class: i, Deadline: c.Deadline, Tenant: -1}
 	}
@@ -90,7 +179,41 @@
 				return nil, fmt.Errorf("function.%s.tenant: no tenant %q", name, strings.TrimSpace(f.Tenant))
 			}
 		}
+		if f.MaxQueue < 0 {
+			return nil, fmt.Errorf("function.%s.maxqueue: %d is under 0", name, f.MaxQueue)
+		}
+		g.Limits.PerFunction[name] = f.MaxQueue
 		g.Functions[name] = to
 	}
 	return g, nil
 }
+
+// checker reads values that may be left out, and keeps the first fault.
+type checker struct{ err error }
+
+func (c *checker) fail(format string, args ...any) {
+	if c.err == nil {
+		c.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (c *checker) count(key string, v *int64, fallback, most int64) int64 {
+	if v == nil {
+		return fallback
+	}
+	if *v < 1 || *v > most {
+		c.fail("%s: %d is not from 1 to %d", key, *v, most)
+	}
+	return *v
+}
+
+func (c *checker) time(key, text string, fallback time.Duration) time.Duration {
+	if text == "" {
+		return fallback
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		c.fail("%s: %q is not a time above 0", key, text)
+	}
+	return d
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,9 +14,11 @@
 	"time"
 
 	"tinroute.example/tinroute/dispatch"
+	"tinroute.example/tinroute/internal/background"
 	"tinroute.example/tinroute/internal/config"
 	"tinroute.example/tinroute/internal/gearman"
 	"tinroute.example/tinroute/internal/hook"
+	"tinroute.example/tinroute/internal/jobstore"
 	"tinroute.example/tinroute/internal/link"
 	"tinroute.example/tinroute/internal/platform"
 	"tinroute.example/tinroute/internal/telemetry"
@@ -50,6 +52,7 @@
 	Log     *slog.Logger
 	Hangup  <-chan os.Signal                                                  // each asks for a reload; none where nil
 	Reread  func() (*config.Config, *config.Gearman, error)                   // reads the files again, for a reload
+	Wall    func() time.Time                                                  // the system's clock, time.Now where nil
 	Getenv  func(string) string                                               // for the OTEL_ variables; none where nil
 	Dial    func(ctx context.Context, network, addr string) (net.Conn, error) // a net.Dialer's where nil
 	Listen  func(network, addr string) (net.Listener, error)                  // net.Listen where nil
@@ -77,6 +80,8 @@
 	}
 	terminals := int(terminalShare * float64(sockets))
 
+	ctx, end := context.WithCancel(ctx)
+	defer end()
 	// The parts outlive ctx: they are needed until the last answer.
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -129,14 +134,23 @@
 	var second *platform.Table
 	if d.Gearman != nil {
 		log := d.Log.With("front", "gearman")
-		core, err := d.core(inner, "gearman", d.Gearman.Hooks, spans, log)
+		core, err := d.core(inner, "gearman", d.Gearman.Hooks, spans, log, gearman.NewWatch())
 		if err != nil {
 			return err
 		}
-		if second, err = d.start(inner, core, gearman.NewRegions(core, log, d.Dial, sockets-terminals), d.Gearman.Discovery, nil); err != nil {
+		regions := gearman.NewRegions(core, log, d.Dial, sockets-terminals)
+		o := gearman.Options{Log: log, File: d.Gearman, Name: d.Config.Name, Most: terminals, Regions: regions.Serving, Shutdown: end}
+		run, shut := d.background(inner, &o, log)
+		server := gearman.NewServer(core, o)
+		run()
+		defer func() { // after the last answer, and with nothing more to be offered
+			stop()
+			shut()
+		}()
+		if second, err = d.start(inner, core, regions, d.Gearman.Discovery, nil); err != nil {
 			return err
 		}
-		if err := open(d.Gearman.Listen, gearman.NewServer(core, log, d.Gearman, d.Config.Name, terminals)); err != nil {
+		if err := open(d.Gearman.Listen, server); err != nil {
 			return err
 		}
 		log.Info("serving", "name", d.Config.Name, "listen", d.Gearman.Listen, "discovery", d.Gearman.Discovery,
@@ -172,8 +186,8 @@
 
 // core makes a front's core, with the scripts and the telemetry that watch it.
 func (d *Daemon) core(ctx context.Context, front string, files []string, spans *telemetry.Telemetry,
-	log *slog.Logger) (*dispatch.Core, error) {
-	o := dispatch.Options{Settings: *d.Config.Settings, Log: log}
+	log *slog.Logger, watching ...dispatch.Observer) (*dispatch.Core, error) {
+	o := dispatch.Options{Settings: *d.Config.Settings, Log: log, Observers: watching}
 	hooks, err := hook.Load(files, d.Config.Settings, d.Config.Names, log)
 	if err != nil {
 		return nil, err
@@ -192,6 +206,41 @@
 	return dispatch.New(o)
 }
 
+// background opens the job store, if there is one, and gives the Gearman front what it needs to
+// run stored jobs. Where the store cannot be opened the front serves on without. The functions
+// that it returns begin with the stored jobs, and close the store once ctx has ended.
+func (d *Daemon) background(ctx context.Context, o *gearman.Options, log *slog.Logger) (run, shut func()) {
+	g := d.Gearman
+	if g.Store == nil {
+		return func() {}, func() {}
+	}
+	clock := dispatch.NewClock()
+	store, err := jobstore.Open(jobstore.Options{Path: g.Store.Path, MaxJobs: g.Store.MaxJobs, MaxBytes: g.Store.MaxBytes,
+		MaxFile: g.Store.MaxFile, Now: clock.Now, Log: log})
+	if err != nil {
+		log.Error("job store not opened", "file", g.Store.Path, "err", err)
+		o.Down = err
+		return func() {}, func() {}
+	}
+	c := store.Counts()
+	log.Info("job store opened", "file", g.Store.Path, "jobs", c.Jobs-c.Dead, "dead", c.Dead, "damaged", c.Damaged, "bytes", c.File)
+	if store.ClockBack() {
+		log.Warn("clock set back", "file", g.Store.Path)
+	}
+	var keeper *background.Keeper
+	o.Keeper = func(f background.Front) *background.Keeper {
+		keeper = background.New(background.Options{Store: store, Limits: g.Retry, Pace: g.Pace, Seed: d.Config.Settings.Seed,
+			Clock: clock, Wall: d.Wall, Log: log}, f)
+		return keeper
+	}
+	return func() { go keeper.Run(ctx) }, func() {
+		keeper.Stopped()
+		if err := store.Close(); err != nil {
+			log.Error("job store not closed", "err", err)
+		}
+	}
+}
+
 // start brings a core and its drivers to life, beginning with the service table as known.
 func (d *Daemon) start(ctx context.Context, core *dispatch.Core, regions interface {
 	dispatch.Regions
--- a/internal/daemon/docs_test.go
+++ b/internal/daemon/docs_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-var logged = regexp.MustCompile(`(?:\b[lL]og\.(?:Info|Warn|Error)\(|\bsay\(\w+, |malformed\()"([^"]+)"`)
+var logged = regexp.MustCompile(`(?:\b[lL]og\.(?:Info|Warn|Error)\(|\bsay\(\w+, |malformed\(|[cC]omplain\()"([^"]+)"`)
 
 // On-call staff must find every line that the daemon can log.
 func TestOnCallPageKnowsEveryLine(t *testing.T) {
--- a/internal/gearman/packet.go
+++ b/internal/gearman/packet.go
@@ -15,8 +15,8 @@
 // Type is a packet's type, by its number in the protocol.
 type Type uint32
 
-// The packets that this front knows. What is missing belongs to workers, which never speak
-// to a dispatcher: it is their client.
+// The packets that this front knows, by the protocol page of gearman.org. What is missing belongs
+// to workers, which never speak to a dispatcher: it is their client.
 const (
 	SubmitJob       Type = 7
 	JobCreated      Type = 8
@@ -42,6 +42,8 @@
 	SubmitJobEpoch  Type = 36
 	SubmitReduce    Type = 37
 	SubmitReduceBG  Type = 38
+	GetStatusUnique Type = 41
+	StatusResUnique Type = 42
 )
 
 // maxBody bounds what a packet carries, as the platform bounds a body.
@@ -49,18 +51,23 @@
 
 const headLen = 12
 
+// maxLine bounds a line of the text protocol: a command, a function's name and a number.
+const maxLine = 1 << 10
+
 var (
 	magicRequest  = [4]byte{0, 'R', 'E', 'Q'}
 	magicResponse = [4]byte{0, 'R', 'E', 'S'}
 
 	errMagic = errors.New("bad magic")
 	errSize  = errors.New("packet over 64 KiB")
+	errLine  = errors.New("line over 1 KiB")
 )
 
 // Packet is one whole packet.
 type Packet struct {
 	Type Type
 	Body []byte
+	Text bool // it is a line of the text protocol, without its end
 }
 
 // Args splits the body into so many arguments; the last may hold any bytes.
@@ -76,8 +83,14 @@
 type Framer struct {
 	magic [4]byte
 	buf   []byte
+	ask   bool // the first byte tells which protocol is spoken: a packet begins with NUL
+	text  bool
 }
 
+// NewPortFramer frames what comes to a job server's port: packets of clients, or lines of the
+// text protocol if the first byte is not NUL. A connection speaks one of them for good.
+func NewPortFramer() link.Framer[Packet] { return &Framer{magic: magicRequest, ask: true} }
+
 // NewRequestFramer frames what a client sends to a job server.
 func NewRequestFramer() link.Framer[Packet] { return &Framer{magic: magicRequest} }
 
@@ -93,6 +106,12 @@
 // Next returns the next whole packet, or nil while there is none. Bad magic shows by the
 // first wrong byte, before a length is believed.
 func (f *Framer) Next() (*Packet, error) {
+	if f.ask && len(f.buf) > 0 {
+		f.ask, f.text = false, f.buf[0] != 0
+	}
+	if f.text {
+		return f.line()
+	}
 	if n := min(len(f.buf), len(f.magic)); !bytes.Equal(f.buf[:n], f.magic[:n]) {
 		return nil, errMagic
 	}
@@ -116,6 +135,20 @@
 	return p, nil
 }
 
+// line returns the next whole line of the text protocol. Its end is LF or CR LF.
+func (f *Framer) line() (*Packet, error) {
+	i := bytes.IndexByte(f.buf, '\n')
+	if i > maxLine || i < 0 && len(f.buf) > maxLine {
+		return nil, errLine
+	}
+	if i < 0 {
+		return nil, nil
+	}
+	p := &Packet{Text: true, Body: bytes.Clone(bytes.TrimSuffix(f.buf[:i], []byte{'\r'}))}
+	f.buf = f.buf[:copy(f.buf, f.buf[i+1:])]
+	return p, nil
+}
+
 // End tells that the stream has ended.
 func (f *Framer) End() (*Packet, error) {
 	if f.Partial() {
--- a/internal/gearman/regions.go
+++ b/internal/gearman/regions.go
@@ -20,6 +20,7 @@
 	pool  *link.Pool[Packet]
 	mu    sync.Mutex
 	tasks map[*dispatch.Task]context.CancelFunc
+	list  []dispatch.Region
 }
 
 // NewRegions returns a driver that holds at most so many connections.
@@ -34,6 +35,9 @@
 
 // Listed closes idle connections to regions that are gone.
 func (r *Regions) Listed(list []dispatch.Region) {
+	r.mu.Lock()
+	r.list = list
+	r.mu.Unlock()
 	listed := map[string]bool{}
 	for _, region := range list {
 		listed[region.Addr] = true
@@ -41,6 +45,18 @@
 	r.pool.Forget(listed)
 }
 
+// Serving returns the regions that take new tasks.
+func (r *Regions) Serving() (serving []dispatch.Region) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, region := range r.list {
+		if region.Condition == balance.Serving {
+			serving = append(serving, region)
+		}
+	}
+	return serving
+}
+
 // Start carries a routed task to its region.
 func (r *Regions) Start(t *dispatch.Task) {
 	ctx, stop := context.WithCancel(context.Background())
@@ -53,6 +69,7 @@
 		r.mu.Lock()
 		delete(r.tasks, t)
 		r.mu.Unlock()
+		t.Transaction.Payload.(*job).ended(status)
 		r.core.Ended(t, status, result)
 	}()
 }
@@ -91,6 +108,13 @@
 	if ctx.Err() != nil {
 		return balance.StatusMoot, nil
 	}
+	if err := j.sending(ctx, t); err != nil { // a stored job that is sent unwritten could be sent twice after a crash
+		keep = true
+		if ctx.Err() == nil {
+			r.say(t, "not sent", err)
+		}
+		return balance.StatusMoot, nil
+	}
 	data := Request(SubmitJob, j.function, j.unique, j.data)
 	if n, err := link.Write(conn, data); n < len(data) {
 		r.say(t, "request cut short", err)
@@ -111,7 +135,12 @@
 			r.log.Warn("region answered", "region", t.Region.Name, "id", t.Transaction.ID, "err", err)
 		}
 		if over {
-			keep = err == nil
+			if x.exception != nil {
+				j.mu.Lock()
+				j.exception = x.exception
+				j.mu.Unlock()
+			}
+			keep = err == nil && x.exception == nil // a WORK_FAIL may follow, which answers nothing then
 			return status, x.result
 		}
 	}
@@ -124,11 +153,12 @@
 // exchange is the client's state machine for one job: it is fed packets and knows no
 // socket.
 type exchange struct {
-	handle   string // empty until JOB_CREATED
-	begun    bool
-	result   []byte
-	started  func()
-	progress func(share float64)
+	handle    string // empty until JOB_CREATED
+	begun     bool
+	result    []byte // the parts of it, see eachPart
+	exception []byte
+	started   func()
+	progress  func(share float64)
 }
 
 // take takes the server's next packet. At the end it tells what became of the job; an
@@ -167,19 +197,17 @@
 	switch p.Type {
 	case WorkStatus:
 		x.status(args[1], args[2])
-	case WorkData: // a part of the result ahead of its end
+	case WorkData, WorkWarning, WorkComplete: // kept until the end: of a job that runs twice one run answers
 		if len(x.result)+len(args[1]) > maxBody {
 			return balance.StatusError, true, errSize
 		}
-		x.result = append(x.result, args[1]...)
-	case WorkWarning: // says nothing that a decision hangs on
-	case WorkComplete:
-		if len(x.result)+len(args[1]) > maxBody {
-			return balance.StatusError, true, errSize
+		if x.result = appendPart(x.result, p.Type, args[1]); p.Type == WorkComplete {
+			return balance.StatusOK, true, nil
 		}
-		x.result = append(x.result, args[1]...)
-		return balance.StatusOK, true, nil
-	case WorkFail, WorkException:
+	case WorkException:
+		x.exception = args[1]
+		return balance.StatusError, true, nil
+	case WorkFail:
 		return balance.StatusError, true, nil
 	default:
 		return balance.StatusError, true, errors.New("packet type " + strconv.Itoa(int(p.Type)))
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"net"
 	"strconv"
@@ -12,17 +11,24 @@
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
+	"tinroute.example/tinroute/internal/background"
+	"tinroute.example/tinroute/internal/complain"
 	"tinroute.example/tinroute/internal/config"
+	"tinroute.example/tinroute/internal/jobbook"
 	"tinroute.example/tinroute/internal/link"
 )
 
 const (
-	// jobsPerPeer bounds the jobs that one connection may have open, and so what waits to be
-	// written to it.
-	jobsPerPeer = 64
-	// outbox holds a JOB_CREATED and a final answer for each job, and some progress. A client
-	// that lets it fill up does not read, and is closed rather than waited for.
-	outbox = 4 * jobsPerPeer
+	// outbox holds a JOB_CREATED and a final answer for each of a connection's jobs, and some
+	// progress. A client that lets it fill up does not read, and is closed rather than waited
+	// for.
+	outboxPerJob = 4
+	// badMost is how many packets in a row may be turned away before the connection is closed:
+	// a tool that speaks another role's protocol repeats its packet as fast as it gets ERROR.
+	badMost = 16
+	// wide is how many waiters a job may have to be told from the goroutine that brings the
+	// news, which is the core's own; more are told from another.
+	wide = 64
 )
 
 // The codes of ERROR packets.
@@ -31,31 +37,53 @@
 	codeUnknown   = "unknown_function"
 	codeUnserved  = "not_served"
 	codeBusy      = "too_many_jobs"
+	codeQueue     = "queue_full"
+	codeStore     = "store_unavailable"
 	codeKey       = "unique_id_missing"
 )
 
-// job is the payload of a transaction.
-type job struct {
-	function, unique, data string
+// Options of a Server beside its core.
+type Options struct {
+	Log      *slog.Logger
+	File     *config.Gearman
+	Name     string // the dispatcher's, part of every handle
+	Most     int    // connections at once
+	Regions  func() []dispatch.Region
+	Keeper   func(background.Front) *background.Keeper // nil where there is no job store
+	Down     error                                     // why the job store that is configured could not be opened
+	Shutdown func()                                    // ends the process in order, for the text protocol
 }
 
 // Server is the job server that Gearman clients meet.
 type Server struct {
-	core      *dispatch.Core
-	log       *slog.Logger
-	file      *config.Gearman
-	name      string
-	server    link.Server
-	nextJob   atomic.Uint64
-	mu        sync.Mutex
-	terminals map[string]*terminal // by handle, jobs without a final answer
+	o        Options
+	core     *dispatch.Core
+	log      *slog.Logger
+	file     *config.Gearman
+	server   link.Server
+	complain *complain.Book
+	keeper   *background.Keeper // nil where off
+	nextJob  atomic.Uint64
+	classes  map[string]*balance.Class // by function
+
+	mu      sync.Mutex
+	book    *jobbook.Book[*client]
+	dropped map[string]bool // functions that take no new jobs
+	fan     []delivery      // what waits to be told to many
+	fanning bool
 }
 
-// NewServer returns a server that holds at most so many connections. Handles carry the
-// dispatcher's name.
-func NewServer(core *dispatch.Core, log *slog.Logger, file *config.Gearman, name string, most int) *Server {
-	s := &Server{core: core, log: log, file: file, name: name, terminals: map[string]*terminal{}}
-	s.server = link.Server{Log: log, Most: most, Handle: s.handle}
+// NewServer returns a server for the core, which must have NewWatch among its observers.
+func NewServer(core *dispatch.Core, o Options) *Server {
+	s := &Server{o: o, core: core, log: o.Log, file: o.File, complain: complain.New(o.Log, nil), dropped: map[string]bool{},
+		classes: map[string]*balance.Class{}, book: jobbook.New[*client](o.File.Limits)}
+	for name, f := range o.File.Functions {
+		s.classes[name] = &core.Settings().Classes[f.Class]
+	}
+	if o.Keeper != nil {
+		s.keeper = o.Keeper(s)
+	}
+	s.server = link.Server{Log: o.Log, Most: o.Most, Handle: s.handle}
 	return s
 }
 
@@ -63,13 +91,16 @@
 func (s *Server) Serve(l net.Listener) error { return s.server.Serve(l) }
 
 // Drain goes on taking what comes, for as long as g says while there are clients, and returns
-// when every job is answered.
+// when every job that was sent is answered. Background jobs that were not stay stored.
 func (s *Server) Drain(ctx context.Context, g link.Grace) {
+	if s.keeper != nil {
+		s.keeper.Drain()
+	}
 	s.core.Drain(g.Free, g.Within)
 	s.server.Drain(ctx, s.core.Open, g.Stay)
 }
 
-// outgoing is a packet that waits to be written.
+// outgoing is something that waits to be written.
 type outgoing struct {
 	data  []byte
 	final bool // a job's final answer: the job keeps the connection busy until this is written
@@ -81,62 +112,84 @@
 	*Server
 	out        chan outgoing
 	done       chan struct{}
-	exceptions bool // guarded by Server.mu, as is jobs
-	jobs       map[string]*terminal
-	settled    chan struct{} // no job is open
-}
-
-// terminal is one job's side of a client's connection.
-type terminal struct {
-	*client
-	handle string
-	tx     *dispatch.Transaction
-	share  float64 // guarded by Server.mu, as is begun
-	begun  bool
+	exceptions bool          // guarded by Server.mu, as are owed and gone
+	owed       int           // submissions whose final answer is not in the outbox
+	gone       bool          // nothing is written any more
+	settled    chan struct{} // owed has come to 0
+	bad        int           // packets turned away in a row; the reader's own
+	text       bool
 }
 
 func (s *Server) handle(p *link.Peer) {
-	c := &client{Peer: p, Server: s, out: make(chan outgoing, outbox), done: make(chan struct{}), jobs: map[string]*terminal{},
-		settled: make(chan struct{}, 1)}
+	c := &client{Peer: p, Server: s, done: make(chan struct{}), settled: make(chan struct{}, 1),
+		out: make(chan outgoing, outboxPerJob*max(16, s.file.Limits.PerClient))}
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
 		c.write()
 	}()
-	err := link.Read(c.Conn, NewRequestFramer(), c.packet)
-	bad := (*link.Malformed)(nil)
-	malformed := errors.As(err, &bad)
-	if malformed { // the client is still there, and is owed its jobs' answers first
-		s.log.Warn("malformed packet", "from", c.RemoteAddr().String(), "err", err)
-		for c.open() > 0 {
-			<-c.settled
+	last := false // it is told why, and then closed
+	err := link.Read(c.Conn, NewPortFramer(), func(p *Packet) bool {
+		c.text = p.Text
+		if p.Text {
+			c.command(string(p.Body))
+		} else {
+			c.packet(p)
+		}
+		last = c.bad >= badMost
+		return !last
+	})
+	if bad := (*link.Malformed)(nil); errors.As(err, &bad) {
+		last = true
+		s.complain.Complain("malformed packet", c.RemoteAddr(), err.Error())
+		if errors.Is(err, errLine) {
+			c.send([]byte(errTooLong))
+		} else {
+			c.settle() // the client is still there, and is owed its jobs' answers first
+			c.send(Response(Error, codeMalformed, err.Error()))
 		}
-		c.send(Response(Error, codeMalformed, err.Error()))
+	} else if last {
+		c.settle()
 	}
 	close(c.done)
 	<-written
-	if malformed {
+	if last {
 		p.Linger(c.done)
 	}
-	// The client is gone, and no one waits for its jobs.
+	s.leave(c)
+}
+
+// settle waits until every answer that the client is owed is in its outbox.
+func (c *client) settle() {
+	for {
+		c.mu.Lock()
+		owed := c.owed
+		c.mu.Unlock()
+		if owed == 0 {
+			return
+		}
+		<-c.settled
+	}
+}
+
+// leave forgets a client that is gone. Jobs that no one waits for any more are given up.
+func (s *Server) leave(c *client) {
 	s.mu.Lock()
-	left := c.jobs
-	c.jobs = nil
-	for handle := range left {
-		delete(s.terminals, handle)
+	c.gone = true
+	var out []*dispatch.Transaction
+	for _, e := range s.book.Leave(c) {
+		j := e.Payload.(*job)
+		if j.tx != nil {
+			out = append(out, j.tx)
+			j.tx = nil
+		}
 	}
 	s.mu.Unlock()
-	for _, t := range left {
-		s.core.Leave(t.tx)
+	for _, tx := range out {
+		s.core.Leave(tx)
 	}
 }
 
-func (c *client) open() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.jobs)
-}
-
 // write sends what is in the outbox, and at the end what is left of it.
 func (c *client) write() {
 	for {
@@ -162,153 +215,100 @@
 	return err == nil
 }
 
-// send hands a packet to the connection's writer and never waits for it. A drain closes idle
-// connections, so one is in use until its last answer is written, not just until it is here.
+// send hands bytes to the connection's writer and never waits for it.
 func (c *client) send(data []byte) { c.hand(outgoing{data: data}) }
 
 func (c *client) hand(p outgoing) {
 	select {
 	case c.out <- p:
 	default:
-		c.log.Warn("slow reader closed", "to", c.RemoteAddr().String())
+		c.complain.Complain("slow reader closed", c.RemoteAddr(), "outbox full")
 		_ = c.Close()
 	}
 }
 
-// packet takes one packet from the client; what is not served gets an ERROR.
-func (c *client) packet(p *Packet) bool {
-	var err error
-	switch p.Type {
-	case SubmitJob, SubmitJobHigh, SubmitJobLow:
-		err = c.submit(p)
-	case EchoReq:
-		c.Prove()
-		c.send(Response(EchoRes, string(p.Body)))
-	case OptionReq:
-		if string(p.Body) != "exceptions" {
-			c.send(Response(Error, codeUnserved, fmt.Sprintf("option %.40q", p.Body)))
-			break
-		}
-		c.Prove()
-		c.mu.Lock()
-		c.exceptions = true
-		c.mu.Unlock()
-		c.send(Response(OptionRes, "exceptions"))
-	case GetStatus:
-		c.Prove()
-		c.status(string(p.Body))
-	case SubmitJobBG, SubmitJobHighBG, SubmitJobLowBG, SubmitJobSched, SubmitJobEpoch:
-		c.refuse(codeUnserved, "background jobs are not served: no one would hear of their end")
-	case SubmitReduce, SubmitReduceBG:
-		c.refuse(codeUnserved, "reducers are not served")
-	default:
-		c.refuse(codeUnserved, fmt.Sprintf("packet type %d is not served", p.Type))
-	}
-	if err != nil {
-		c.refuse(codeMalformed, err.Error())
-	}
-	return true
+// delivery is one piece of news about a job, for each of its waiters.
+type delivery struct {
+	to    map[*client]int // submissions of each
+	final bool
+	plain []byte // for clients without the option exceptions
+	full  []byte // for those with it
 }
 
-func (c *client) refuse(code, text string) {
-	c.log.Warn("packet not served", "from", c.RemoteAddr().String(), "code", code, "why", text)
-	c.send(Response(Error, code, text))
-}
-
-// submit takes a job. A function is a class, the unique id is the idempotency key. Jobs of
-// one unique id are not coalesced: each is its own transaction with its own final answer.
-func (c *client) submit(p *Packet) error {
-	args, err := p.Args(3)
-	if err != nil {
-		return err
-	}
-	j := &job{string(args[0]), string(args[1]), string(args[2])}
-	f, ok := c.file.Functions[j.function]
-	if !ok {
-		c.refuse(codeUnknown, fmt.Sprintf("no function %.40q", j.function))
-		return nil
-	}
-	if c.core.Settings().Classes[f.Class].Effect == balance.Keyed && j.unique == "" {
-		c.refuse(codeKey, "function "+j.function+" wants a unique id")
-		return nil
-	}
-	t := &terminal{client: c, handle: "H:" + c.name + ":" + strconv.FormatUint(c.nextJob.Add(1), 10)}
-	t.tx = &dispatch.Transaction{ID: t.handle, Class: f.Class, Tenant: f.Tenant, Patience: f.Deadline,
-		Hint: f.Cost, Slots: 1, Payload: j, Terminal: t}
-	c.mu.Lock()
-	full := len(c.jobs) >= jobsPerPeer
-	if !full {
-		c.jobs[t.handle], c.terminals[t.handle] = t, t
-	}
-	c.mu.Unlock()
-	if full {
-		c.refuse(codeBusy, fmt.Sprintf("%d jobs are open on this connection", jobsPerPeer))
-		return nil
+// deliver tells a job's waiters. Where they are many that is not done on the calling goroutine,
+// which is the core's, but in the order of the calls all the same. s.mu is held.
+func (s *Server) deliver(d delivery) {
+	if len(d.to) == 0 {
+		return
 	}
-	c.Prove()
-	c.Busy(1)
-	c.send(Response(JobCreated, t.handle))
-	c.core.Submit(t.tx)
-	return nil
-}
-
-// Answer gives the job's one final answer.
-func (t *terminal) Answer(a dispatch.Answer) {
-	t.mu.Lock()
-	_, open := t.jobs[t.handle]
-	delete(t.jobs, t.handle)
-	delete(t.terminals, t.handle)
-	exceptions := t.exceptions
-	if len(t.jobs) == 0 {
-		defer func() {
-			select {
-			case t.settled <- struct{}{}:
-			default:
-			}
-		}()
+	if !s.fanning && len(d.to) <= wide {
+		s.tell(d)
+		return
 	}
-	t.mu.Unlock()
-	if !open { // the client is gone
+	s.fan = append(s.fan, d)
+	if s.fanning {
 		return
 	}
-	data := Response(WorkFail, t.handle)
-	switch {
-	case a.Verdict == dispatch.Served:
-		data = Response(WorkComplete, t.handle, string(a.Result))
-	case a.Verdict == dispatch.Refused && exceptions:
-		reason := "refused: " + a.Reason
-		if a.RetryAfter > 0 {
-			reason += fmt.Sprintf("; retry after %.3f s", a.RetryAfter.Seconds())
+	s.fanning = true
+	go func() {
+		for {
+			s.mu.Lock()
+			if len(s.fan) == 0 {
+				s.fanning = false
+				s.mu.Unlock()
+				return
+			}
+			d := s.fan[0]
+			s.fan = s.fan[1:]
+			s.mu.Unlock()
+			part := delivery{to: map[*client]int{}, final: d.final, plain: d.plain, full: d.full}
+			tell := func() {
+				s.mu.Lock()
+				s.tell(part)
+				s.mu.Unlock()
+				clear(part.to)
+			}
+			for c, n := range d.to { // the lock is not held for all of them at once
+				if part.to[c] = n; len(part.to) >= wide {
+					tell()
+				}
+			}
+			tell()
 		}
-		data = Response(WorkException, t.handle, reason)
-	}
-	t.hand(outgoing{data, true})
+	}()
 }
 
-// Progress passes a region's progress on. Copies of one job tell of theirs too: only an
-// advance is passed on, and none that the client is too slow to read.
-func (t *terminal) Progress(share float64) {
-	t.mu.Lock()
-	news := !t.begun || share > t.share
-	t.begun, t.share = true, max(t.share, share)
-	t.mu.Unlock()
-	if news && len(t.out) < outbox/4 {
-		t.send(Response(WorkStatus, t.handle, percent(share), "100"))
+func (s *Server) tell(d delivery) {
+	for c, n := range d.to {
+		if c.gone {
+			continue
+		}
+		data := d.plain
+		if c.exceptions {
+			data = d.full
+		}
+		for range n {
+			c.hand(outgoing{data, d.final})
+		}
+		if d.final {
+			if c.owed -= n; c.owed == 0 {
+				select {
+				case c.settled <- struct{}{}:
+				default:
+				}
+			}
+		}
 	}
 }
 
-func (c *client) status(handle string) {
-	c.mu.Lock()
-	t := c.terminals[handle]
-	known, running, share := "0", "0", 0.0
-	if t != nil {
-		known, share = "1", t.share
-		if t.begun {
-			running = "1"
-		}
+// newHandle returns a handle that no other job of this dispatcher has, and where jobs are
+// stored none had before its restart.
+func (s *Server) newHandle() string {
+	var n uint64
+	if s.keeper != nil {
+		n = s.keeper.Number()
+	} else {
+		n = s.nextJob.Add(1)
 	}
-	c.mu.Unlock()
-	c.send(Response(StatusRes, handle, known, running, percent(share), "100"))
+	return "H:" + s.o.Name + ":" + strconv.FormatUint(n, 10)
 }
-
-func percent(share float64) string { return strconv.Itoa(int(100 * min(max(share, 0), 1))) }
--- /dev/null
+++ b/internal/gearman/stored.go
@@ -0,0 +1,140 @@
+package gearman
+
+import (
+	"tinroute.example/tinroute/balance"
+	"tinroute.example/tinroute/dispatch"
+	"tinroute.example/tinroute/internal/jobstore"
+	"tinroute.example/tinroute/internal/recovery"
+)
+
+// The methods of background.Front, which the keeper calls. The server's lock may be held when
+// the keeper's is taken, never the other way round.
+
+// reopen enters a stored job in the book again. s.mu is held.
+func (s *Server) reopen(o *jobstore.Stored) *job {
+	r := o.Job
+	if e := s.book.Handle(r.Handle); e != nil {
+		return e.Payload.(*job)
+	}
+	j := &job{server: s, handle: r.Handle, function: r.Function, unique: r.Unique, data: string(r.Data), id: r.ID}
+	unique := r.Unique
+	if s.book.Find(r.Function, unique) != nil { // a later job has it, since this one was dead for a while
+		unique = ""
+	}
+	j.entry = s.book.Open(r.Handle, r.Function, unique, len(r.Data), true)
+	j.entry.Payload = j
+	return j
+}
+
+// Offer submits a stored job.
+func (s *Server) Offer(o *jobstore.Stored, earlier *balance.Earlier) {
+	s.mu.Lock()
+	j := s.reopen(o)
+	j.offers = max(j.offers, o.State.Offers+o.State.Sends) // ids that were in use before a restart are not used again
+	tx := s.transaction(j, s.file.Functions[j.function])
+	tx.Earlier = earlier
+	s.mu.Unlock()
+	s.core.Submit(tx)
+}
+
+// Withdraw takes an offer back.
+func (s *Server) Withdraw(id uint64) {
+	s.mu.Lock()
+	var tx *dispatch.Transaction
+	for _, e := range s.book.Jobs(-1) {
+		if j := e.Payload.(*job); j.number() == id && j.tx != nil {
+			tx, j.tx = j.tx, nil
+			s.fail(j, "the dispatcher is ending; the job stays stored")
+			s.rest(j)
+		}
+	}
+	s.mu.Unlock()
+	if tx != nil {
+		s.core.Leave(tx)
+	}
+}
+
+// fail tells all who wait for a job that they wait in vain; the job itself stays. s.mu is held.
+func (s *Server) fail(j *job, reason string) {
+	plain := Response(WorkFail, j.handle)
+	s.deliver(delivery{to: s.book.Detach(j.entry), final: true, plain: plain,
+		full: append(Response(WorkException, j.handle, reason), plain...)})
+}
+
+// Buried tells who waits for a job that it is dead.
+func (s *Server) Buried(o *jobstore.Stored, reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.book.Handle(o.Job.Handle); e != nil {
+		s.fail(e.Payload.(*job), "dead: "+reason)
+		s.book.Close(e)
+	}
+}
+
+// Missing tells that a job which clients joined had ended: it is a new one then.
+func (s *Server) Missing(handle string) {
+	s.mu.Lock()
+	e := s.book.Handle(handle)
+	if e == nil || e.Payload.(*job).tx != nil {
+		s.mu.Unlock()
+		return
+	}
+	j := e.Payload.(*job)
+	if e.Waiting == 0 {
+		s.book.Close(e)
+		s.mu.Unlock()
+		return
+	}
+	s.book.SetBackground(e, false)
+	j.mu.Lock()
+	j.id = 0
+	j.mu.Unlock()
+	tx := s.transaction(j, s.file.Functions[j.function])
+	s.mu.Unlock()
+	s.core.Submit(tx)
+}
+
+// Class is a function's class, or nil.
+func (s *Server) Class(function string) *balance.Class { return s.classes[function] }
+
+func ends(a dispatch.Answer) recovery.End {
+	switch {
+	case a.Verdict == dispatch.Served:
+		return recovery.Served
+	case a.Verdict == dispatch.Refused:
+		return recovery.WasRefused
+	case a.Unfit:
+		return recovery.WasUnfit
+	}
+	return recovery.HasFailed
+}
+
+// cancel ends a job by its handle, wherever it is, and tells who waits for it. It waits for the
+// disk.
+func (s *Server) cancel(handle string) bool {
+	s.mu.Lock()
+	var tx *dispatch.Transaction
+	e := s.book.Handle(handle)
+	background := e == nil
+	if e != nil {
+		j := e.Payload.(*job)
+		if j.put != nil { // it is not known to be stored yet, and its submitters wait for that word
+			s.mu.Unlock()
+			return false
+		}
+		background = e.Background
+		tx, j.tx = j.tx, nil
+		s.fail(j, "cancelled")
+		s.book.Close(e)
+	}
+	s.mu.Unlock()
+	if tx != nil {
+		s.core.Leave(tx)
+	}
+	if background && s.keeper != nil {
+		if err := s.keeper.Cancel(handle); err != nil && e == nil {
+			return false
+		}
+	}
+	return e != nil || background && s.keeper != nil
+}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -6,11 +6,13 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 
 	"github.com/valyala/fastjson"
 
 	"tinroute.example/tinroute/dispatch"
+	"tinroute.example/tinroute/internal/complain"
 	"tinroute.example/tinroute/internal/config"
 	"tinroute.example/tinroute/internal/link"
 )
@@ -18,17 +20,18 @@
 // Server is the platform's address: terminals, the regions' call-backs and the front's
 // question whether we are ready.
 type Server struct {
-	core    *dispatch.Core
-	regions *Regions
-	log     *slog.Logger
-	names   *config.Names
-	ready   atomic.Bool
-	server  link.Server
+	core     *dispatch.Core
+	regions  *Regions
+	log      *slog.Logger
+	names    *config.Names
+	ready    atomic.Bool
+	server   link.Server
+	complain *complain.Book
 }
 
 // NewServer returns a server that holds at most so many connections.
 func NewServer(core *dispatch.Core, regions *Regions, log *slog.Logger, names *config.Names, most int) *Server {
-	s := &Server{core: core, regions: regions, log: log, names: names}
+	s := &Server{core: core, regions: regions, log: log, names: names, complain: complain.New(log, nil)}
 	s.server = link.Server{Log: log, Most: most, Handle: s.handle}
 	return s
 }
@@ -180,11 +183,15 @@
 
 // malformed gives the connection's last answer, so that it does not go on.
 func (t *terminal) malformed(what string, err error) (goes bool) {
-	t.log.Warn(what, "from", t.RemoteAddr().String(), "err", err)
+	t.complain.Complain(what, t.RemoteAddr(), reasonOf(err), "err", err)
 	t.write(response(refusalStatus(err), []byte(err.Error()+"\n"), 0, true))
 	return false
 }
 
+// reasonOf is the kind of a fault, of which there are few: a fault's own text may quote the
+// client, and each would be told apart.
+func reasonOf(err error) string { return strconv.Itoa(refusalStatus(err)) }
+
 // write sends one answer. A client that does not read it holds up its own connection only.
 func (t *terminal) write(data []byte) bool {
 	_, err := link.Write(t.Conn, data)
