--- a/internal/jobstore/repair.go
+++ b/internal/jobstore/repair.go
@@ -46,6 +46,13 @@
 // still hold. Records that were deleted may be found again, so what comes back is dead: to be
 // looked at, and released by hand where a repeat is harmless.
 func (s *Store) salvage(why error) error {
+	jobs, states, highest, err := scan(s.o.Path)
+	if err == nil && len(jobs) == 0 && !isTree(s.o.Path) {
+		err = fmt.Errorf("%s: neither a job store nor what is left of one", s.o.Path)
+	}
+	if err != nil {
+		return errors.Join(why, err)
+	}
 	aside := s.o.Path + damagedSuffix
 	for n := 1; ; n++ {
 		if _, err := os.Stat(aside); errors.Is(err, os.ErrNotExist) {
@@ -56,10 +63,6 @@
 	if err := os.Rename(s.o.Path, aside); err != nil {
 		return errors.Join(why, err)
 	}
-	jobs, states, highest, err := scan(aside)
-	if err != nil {
-		return errors.Join(why, err)
-	}
 	_ = os.Remove(s.o.Path + salvageSuffix)
 	if err := s.load(); err != nil {
 		return errors.Join(why, err)
@@ -99,6 +102,18 @@
 	return nil
 }
 
+// isTree tells whether a file begins as bbolt's do, on either of its first pages.
+func isTree(path string) bool {
+	f, err := os.Open(path)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = f.Close() }()
+	head := make([]byte, 64<<10)
+	n, _ := io.ReadFull(f, head)
+	return bytes.Contains(head[:n], []byte{0xed, 0xda, 0x0c, 0xed})
+}
+
 // scan finds the records in a file's bytes, whatever its tree says: the newest of each job.
 func scan(path string) (jobs map[uint64]*Job, states map[uint64]*State, highest uint64, err error) {
 	f, err := os.Open(path)
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -129,6 +129,9 @@
 		o.Now = func() time.Duration { return time.Duration(time.Now().UnixNano()) }
 	}
 	s := &Store{o: o, log: o.Log, writes: make(chan *write, queue), stop: make(chan struct{}), ended: make(chan struct{})}
+	if info, err := os.Stat(o.Path); err == nil && !info.Mode().IsRegular() {
+		return nil, fmt.Errorf("%s: not a file", o.Path)
+	}
 	_ = os.Remove(o.Path + compactSuffix) // an unfinished copy: the file itself is whole
 	if err := s.load(); err != nil {
 		if !errors.Is(err, errDamaged) {
@@ -149,6 +152,9 @@
 		return fmt.Errorf("%w: found when it was last in use", errDamaged)
 	}
 	defer s.unfault(&err)()
+	if err := s.walk(); err != nil {
+		return err
+	}
 	db, err := bolt.Open(s.o.Path, 0o600, s.options())
 	if errors.Is(err, bolt.ErrInvalid) || errors.Is(err, bolt.ErrChecksum) || errors.Is(err, bolt.ErrVersionMismatch) {
 		return fmt.Errorf("%w: %w", errDamaged, err)
@@ -202,6 +208,43 @@
 	return nil
 }
 
+// walk follows the file's tree to every page. bbolt does so itself when it opens a file, but on
+// a goroutine of its own, where a page that cannot be read ends the process.
+func (s *Store) walk() error {
+	if info, err := os.Stat(s.o.Path); err != nil || info.Size() == 0 {
+		return nil // there is none yet
+	}
+	o := s.options()
+	o.ReadOnly, o.MaxSize = true, 0
+	db, err := bolt.Open(s.o.Path, 0o600, o)
+	if errors.Is(err, bolt.ErrInvalid) || errors.Is(err, bolt.ErrChecksum) || errors.Is(err, bolt.ErrVersionMismatch) {
+		return fmt.Errorf("%w: %w", errDamaged, err)
+	}
+	if err != nil {
+		return err
+	}
+	defer func() { _ = db.Close() }()
+	return db.View(func(tx *bolt.Tx) error {
+		return tx.ForEach(func(name []byte, b *bolt.Bucket) error {
+			var last []byte
+			for c, k := b.Cursor(), []byte(nil); ; {
+				if last == nil {
+					k, _ = c.First()
+				} else {
+					k, _ = c.Next()
+				}
+				if k == nil {
+					return nil
+				}
+				if last != nil && bytes.Compare(last, k) >= 0 { // a page that is met twice, or out of its place
+					return fmt.Errorf("%w: keys of %s are out of order", errDamaged, name)
+				}
+				last = k
+			}
+		})
+	})
+}
+
 func (s *Store) options() *bolt.Options {
 	return &bolt.Options{Timeout: lockWait, NoSync: s.o.NoSync, NoFreelistSync: true, FreelistType: bolt.FreelistMapType,
 		MaxSize: int(s.o.MaxFile)}
