--- a/internal/config/gearman.go
+++ b/internal/config/gearman.go
@@ -41,15 +41,16 @@
 
 // Gearman is the second front's file.
 type Gearman struct {
-	Listen    string
-	Discovery string
-	Hooks     []string            // script files, in the order they are asked
-	Functions map[string]Function // one for each class, named as the class
-	Shutdown  bool                // the text protocol may end the process
-	Limits    jobbook.Limits
-	Store     *Store // nil where background jobs are off
-	Retry     recovery.Limits
-	Pace      recovery.PaceLimits
+	Listen      string
+	Discovery   string
+	Hooks       []string            // script files, in the order they are asked
+	Functions   map[string]Function // one for each class, named as the class
+	Connections int                 // clients' at once; 0 for the front's share of the platform's limit
+	Shutdown    bool                // the text protocol may end the process
+	Limits      jobbook.Limits
+	Store       *Store // nil where background jobs are off
+	Retry       recovery.Limits
+	Pace        recovery.PaceLimits
 }
 
 // Function holds what a Gearman job, which says nothing of these, is taken to ask for.
@@ -89,6 +90,7 @@
 		Limits   struct {
 			PerClient *int64 `toml:"jobs_per_connection"`
 			Jobs      *int64 `toml:"jobs"`
+			Conns     *int64 `toml:"connections"`
 			Bytes     *int64 `toml:"bytes"`
 		} `toml:"limits"`
 		Store struct {
@@ -128,6 +130,9 @@
 		Shutdown: file.Shutdown, Limits: jobbook.Limits{PerFunction: map[string]int{}}}
 	c := checker{}
 	g.Limits.PerClient = int(c.count("limits.jobs_per_connection", file.Limits.PerClient, defaultPerClient, 4096))
+	if file.Limits.Conns != nil {
+		g.Connections = int(c.count("limits.connections", file.Limits.Conns, 0, 1_000_000))
+	}
 	g.Limits.Jobs = int(c.count("limits.jobs", file.Limits.Jobs, defaultJobs, 1<<30))
 	g.Limits.Bytes = int(c.count("limits.bytes", file.Limits.Bytes, defaultBytes, 1<<40))
 	g.Retry = recovery.Limits{Offers: int(c.count("retry.offers", file.Retry.Offers, defaultOffers, 1000)),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -139,6 +140,7 @@
 			return err
 		}
 		regions := gearman.NewRegions(core, log, d.Dial, sockets-terminals)
+		terminals := cmp.Or(d.Gearman.Connections, terminals)
 		o := gearman.Options{Log: log, File: d.Gearman, Name: d.Config.Name, Most: terminals, Regions: regions.Serving, Shutdown: end}
 		run, shut := d.background(inner, &o, log)
 		server := gearman.NewServer(core, o)
--- a/internal/daemon/scenario_test.go
+++ b/internal/daemon/scenario_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tinroute.example/tinroute/internal/config"
+	"tinroute.example/tinroute/internal/conform"
 )
 
 // The scenario language. The first line names the regions with their cells, and scripts. Each
@@ -34,6 +35,9 @@
 //	send a MODE                region a is from now on: normal, silent (takes bytes, says nothing), full, unfit (400), dark (no connection comes up)
 //	send table a STATE         discovery tells of region a
 //	send dispatcher TERM       the daemon is told to end
+//	send dispatcher START      it is started again, once it has ended, with the store that it had
+//	send 1 PACKET ARGS ...     a Gearman client sends a packet, as internal/conform writes it
+//	expect 1 PACKET ARGS ...   ... and is sent one
 //	send dispatcher HUP NAME   ... to read its files again, which name this discovery, or are "faulty";
 //	                           "table" is this one from now on, and "old" the one before
 //	send 1 raw "TEXT"          a connection of client 1 carries these bytes
@@ -60,6 +64,12 @@
 	rest    []byte
 	raw     map[string]*strings.Builder // what came on raw connections; guarded by mu
 	stop    context.CancelFunc
+	ended   chan error
+	run     func()                   // starts the daemon (again)
+	store   string                   // the job store's file, empty for none
+	packets map[string]*conform.Conn // connections that carry packets of the conformance suite's language
+	vars    conform.Vars
+	most    int // connections of Gearman clients, 0 for what the settings say
 
 	mu     sync.Mutex
 	events []string
@@ -125,6 +135,11 @@
 	}
 	who := f[1]
 	switch {
+	case len(f) > 2 && f[0] != "wait" && w.regions[who] == nil && f[2] != "raw" && (conform.Known(f[2]) || w.packets[who] != nil):
+		w.packet(line, who)
+	case f[0] == "close" && w.packets[who] != nil:
+		require.NoError(w.t, w.packets[who].Close(), line)
+		delete(w.packets, who)
 	case f[0] == "wait":
 		d, err := time.ParseDuration(who)
 		require.NoError(w.t, err, line)
@@ -150,6 +165,8 @@
 			w.old, w.table = w.table, newTable(w, f[3])
 		}
 		w.hangup <- syscall.SIGHUP
+	case f[0] == "send" && who == "dispatcher" && f[2] == "START":
+		w.run()
 	case f[0] == "send" && who == "dispatcher":
 		w.stop()
 	case f[0] == "send" && w.regions[who] != nil:
@@ -179,6 +196,30 @@
 	w.settle()
 }
 
+// packet plays a line in the conformance suite's language.
+func (w *world) packet(line, who string) {
+	words, err := conform.Words(line)
+	require.NoError(w.t, err, line)
+	n := w.packets[who]
+	if n == nil {
+		c, err := w.net.Dial(context.Background(), "tcp", w.wire.address())
+		require.NoError(w.t, err, line)
+		n = conform.NewConn(c, false)
+		w.packets[who] = n
+	}
+	if words[0] == "send" {
+		require.NoError(w.t, n.Say(words[2:], w.vars), line)
+		return
+	}
+	w.settle()
+	for until := time.Now().Add(5 * time.Second); !n.Heard(words[2:], w.vars); {
+		if time.Now().After(until) {
+			require.FailNow(w.t, "did not happen: "+line, "came: %v", n.Left())
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
 func (w *world) request(id string, f []string) {
 	if f[0] == "rest" {
 		_, err := w.clients[id].Write(w.rest)
@@ -249,8 +290,7 @@
 
 // play runs one scenario and returns how often each thing happened.
 func play(t *testing.T, text string, n network, wr wire, fake bool) map[string]int {
-	w := &world{t: t, net: n, wire: wr, fake: fake, counts: map[string]int{}, bound: map[string]string{},
-		regions: map[string]*region{}, clients: map[string]net.Conn{}, raw: map[string]*strings.Builder{}, hangup: make(chan os.Signal, 1)}
+	w := newWorld(t, n, wr, fake)
 	lines := strings.Split(strings.TrimSpace(text), "\n")
 	var hooks []string
 	for _, name := range strings.Fields(strings.TrimPrefix(lines[0], "regions")) {
@@ -258,15 +298,40 @@
 			hooks = append(hooks, name)
 			continue
 		}
+		if name == "store" {
+			w.store = filepath.Join(t.TempDir(), "jobs")
+			continue
+		}
 		name, cell, _ := strings.Cut(name, "/")
 		w.regions[name] = newRegion(w, name, cell)
 	}
+	w.launch(hooks)
+	defer w.finish()
+	for _, line := range lines[1:] {
+		if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "#") {
+			w.line(line)
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.counts)
+}
+
+func newWorld(t *testing.T, n network, wr wire, fake bool) *world {
+	return &world{t: t, net: n, wire: wr, fake: fake, counts: map[string]int{}, bound: map[string]string{},
+		regions: map[string]*region{}, clients: map[string]net.Conn{}, raw: map[string]*strings.Builder{},
+		packets: map[string]*conform.Conn{}, vars: conform.Vars{}, hangup: make(chan os.Signal, 1)}
+}
+
+// launch starts the daemon, with the table and the regions that there are.
+func (w *world) launch(hooks []string) {
+	t := w.t
 	w.table = newTable(w, "table")
 	c, err := config.Parse([]byte(settings))
 	require.NoError(t, err)
 	c.Listen, c.Discovery = "http", "table"
-	d := &Daemon{Config: c, Log: slog.New(slog.DiscardHandler), Dial: n.Dial, Listen: n.Listen, Hangup: w.hangup}
-	wr.prepare(t, w, d)
+	d := &Daemon{Config: c, Log: slog.New(slog.DiscardHandler), Dial: w.net.Dial, Listen: w.net.Listen, Hangup: w.hangup}
+	w.wire.prepare(t, w, d)
 	d.Reread = func() (*config.Config, *config.Gearman, error) {
 		if w.reread == "faulty" {
 			return nil, nil, errors.New("discovery: missing")
@@ -282,36 +347,35 @@
 	if c.Hooks = hooks; d.Gearman != nil {
 		d.Gearman.Hooks = hooks
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	w.stop = stop
-	ended := make(chan error, 1)
-	go func() { ended <- d.Run(ctx); w.happened("dispatcher ended") }()
-	defer func() {
-		for _, c := range w.clients { // it would wait for those that stay
-			_ = c.Close()
-		}
-		stop()
-		require.NoError(t, <-ended)
-		w.table.close()
-		if w.old != nil {
-			w.old.close()
-		}
-		for _, r := range w.regions {
-			r.close()
+	w.run = func() {
+		ctx, stop := context.WithCancel(context.Background())
+		w.stop, w.ended = stop, make(chan error, 1)
+		calls := w.table.called()
+		go func(ended chan error) { ended <- d.Run(ctx); w.happened("dispatcher ended") }(w.ended)
+		for w.settle(); w.table.called() < calls+2; w.settle() { // the daemon is up once it watches the table
+			time.Sleep(time.Millisecond)
 		}
-		w.settle()
-	}()
-	for w.settle(); !w.table.asked(); w.settle() { // the daemon is up once it watches the table
-		time.Sleep(time.Millisecond)
 	}
-	for _, line := range lines[1:] {
-		if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "#") {
-			w.line(line)
-		}
+	w.run()
+}
+
+func (w *world) finish() {
+	for _, c := range w.clients { // it would wait for those that stay
+		_ = c.Close()
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return maps.Clone(w.counts)
+	for _, c := range w.packets {
+		_ = c.Close()
+	}
+	w.stop()
+	require.NoError(w.t, <-w.ended)
+	w.table.close()
+	if w.old != nil {
+		w.old.close()
+	}
+	for _, r := range w.regions {
+		r.close()
+	}
+	w.settle()
 }
 
 // Each scenario is played on both fronts: on an in-memory network by a fake clock and, where
--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -237,10 +237,10 @@
 	return t
 }
 
-func (t *table) asked() bool {
+func (t *table) called() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.calls > 1
+	return t.calls
 }
 
 func (t *table) tell(name, state string) {
@@ -401,7 +401,14 @@
 	g.w = w
 	d.Config.Discovery = "none" // the platform's front has no fleet here
 	var err error
-	d.Gearman, err = config.ParseGearman("listen = 'gearman'\ndiscovery = 'table'", d.Config.Settings, d.Config.Names)
+	text := "listen = 'gearman'\ndiscovery = 'table'\n"
+	if w.most > 0 {
+		text += fmt.Sprintf("[limits]\nconnections = %d\n", w.most)
+	}
+	if w.store != "" {
+		text += fmt.Sprintf("[store]\npath = %q\n", w.store)
+	}
+	d.Gearman, err = config.ParseGearman(text, d.Config.Settings, d.Config.Names)
 	require.NoError(t, err)
 }
 func (g *gearmanWire) address() string { return "gearman" }
--- a/internal/gearman/submit.go
+++ b/internal/gearman/submit.go
@@ -314,6 +314,7 @@
 	if resubmit {
 		tx = s.transaction(j, s.file.Functions[j.function])
 	}
+	promote := err == nil && j.entry.Waiting > 0 && j.tx == nil
 	s.rest(j)
 	s.mu.Unlock()
 	for _, r := range replies {
@@ -324,7 +325,7 @@
 		s.core.Submit(tx)
 	case tx != nil:
 		s.core.Leave(tx)
-	case err == nil && j.entry.Waiting > 0:
+	case promote:
 		s.keeper.Promote(j.number())
 	}
 }
--- a/internal/gearman/text.go
+++ b/internal/gearman/text.go
@@ -84,8 +84,18 @@
 		return c.create(arg(2))
 	case "drop function":
 		return c.drop(arg(2))
-	case "release job", "release dead":
+	case "release job":
 		return c.release(arg(2))
+	case "store compact":
+		if c.keeper == nil {
+			return errNoStore
+		}
+		done := make(chan error, 1)
+		c.keeper.Store().Compact(func(err error) { done <- err })
+		if err := <-done; err != nil {
+			return fmt.Sprintf(errStoreFailed, plus(err))
+		}
+		return textOK
 	}
 	switch f[0] {
 	case "status":
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -297,6 +297,7 @@
 				case w := <-s.writes:
 					s.commit(s.gather(w))
 				default:
+					go s.turnAway()
 					return
 				}
 			}
@@ -403,6 +404,20 @@
 	}
 }
 
+// turnAway answers writers that came while the store was being closed.
+func (s *Store) turnAway() {
+	for {
+		select {
+		case w := <-s.writes:
+			if w.done != nil {
+				w.done(ErrClosed)
+			}
+		case <-time.After(time.Second):
+			return
+		}
+	}
+}
+
 // Close writes what waits and closes the file.
 func (s *Store) Close() error {
 	close(s.stop)
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -163,8 +163,10 @@
 	for {
 		s.mu.Lock()
 		full := len(s.peers) >= s.Most
-		if p := s.least(); full && p != nil {
-			_ = p.Close()
+		if full { // only then: it looks at every connection
+			if p := s.least(); p != nil {
+				_ = p.Close()
+			}
 		}
 		s.mu.Unlock()
 		if !full {
