--- a/internal/gearman/text.go
+++ b/internal/gearman/text.go
@@ -126,7 +126,7 @@
 		time.AfterFunc(10*time.Millisecond, c.o.Shutdown) // the answer goes first
 		return textOK
 	}
-	return fmt.Sprintf(errCommand, strings.ToValidUTF8(fmt.Sprintf("+%.40s", f[0]), "?"))
+	return fmt.Sprintf(errCommand, "+"+oneLine(strings.ToValidUTF8(fmt.Sprintf("%.40s", f[0]), "?")))
 }
 
 func (s *Server) functionNames() []string {
