--- a/internal/daemon/scenario_test.go
+++ b/internal/daemon/scenario_test.go
@@ -65,6 +65,7 @@
 	raw     map[string]*strings.Builder // what came on raw connections; guarded by mu
 	stop    context.CancelFunc
 	ended   chan error
+	log     *slog.Logger
 	run     func()                   // starts the daemon (again)
 	store   string                   // the job store's file, empty for none
 	packets map[string]*conform.Conn // connections that carry packets of the conformance suite's language
@@ -330,7 +331,10 @@
 	c, err := config.Parse([]byte(settings))
 	require.NoError(t, err)
 	c.Listen, c.Discovery = "http", "table"
-	d := &Daemon{Config: c, Log: slog.New(slog.DiscardHandler), Dial: w.net.Dial, Listen: w.net.Listen, Hangup: w.hangup}
+	if w.log == nil {
+		w.log = slog.New(slog.DiscardHandler)
+	}
+	d := &Daemon{Config: c, Log: w.log, Dial: w.net.Dial, Listen: w.net.Listen, Hangup: w.hangup}
 	w.wire.prepare(t, w, d)
 	d.Reread = func() (*config.Config, *config.Gearman, error) {
 		if w.reread == "faulty" {
