--- a/cmd/tinroute/main.go
+++ b/cmd/tinroute/main.go
@@ -16,6 +16,7 @@
 
 func main() {
 	file := flag.String("gearman", "", "serve Gearman clients too, as this `file` says")
+	spans := flag.String("telemetry", "", "export telemetry as this `file` says, beside the OTEL_ variables")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -27,10 +28,13 @@
 		}
 		return c, g, err
 	}
-	d := &daemon.Daemon{Log: slog.New(slog.NewTextHandler(os.Stderr, nil)), Getenv: os.Getenv, Hangup: hangup,
+	d := &daemon.Daemon{Log: slog.New(slog.NewTextHandler(os.Stderr, nil)), Hangup: hangup,
 		Reread: func() (*config.Config, *config.Gearman, error) { return read(config.Reload) }}
 	var err error
 	if d.Config, d.Gearman, err = read(config.Load); err == nil {
+		d.Telemetry, err = config.LoadTelemetry(*spans, os.Getenv)
+	}
+	if err == nil {
 		err = d.Run(ctx)
 	}
 	if err != nil {
--- a/cmd/tinroute/shop_test.go
+++ b/cmd/tinroute/shop_test.go
@@ -23,6 +23,7 @@
 	t                   *testing.T
 	addr, store         string // of the Gearman front, and of the job store
 	config, second, log string // files
+	env                 []string
 }
 
 func newShop(t *testing.T, settings, more string, serve func(region int, c net.Conn)) *shop {
@@ -77,6 +78,7 @@
 	defer func() { _ = log.Close() }()
 	p := exec.Command(os.Args[0], "-gearman", w.second)
 	p.Env = append(os.Environ(), "TINROUTE_TEST_MAIN=1", "LB_CONFIG="+w.config)
+	p.Env = append(p.Env, w.env...)
 	p.Stderr = log
 	require.NoError(w.t, p.Start())
 	return p
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -36,6 +36,7 @@
 	table    ServiceTable
 	hook     Hook
 	watching []Observer
+	phases   []PhaseObserver // those of watching that are
 
 	events chan func()
 	closed chan struct{}
@@ -71,6 +72,11 @@
 		c.log = slog.New(slog.DiscardHandler)
 	}
 	c.complain = complain.New(c.log, nil)
+	for _, o := range o.Observers {
+		if p, ok := o.(PhaseObserver); ok {
+			c.phases = append(c.phases, p)
+		}
+	}
 	var err error
 	c.balancer, err = balance.New(o.Settings, host{c})
 	return c, err
@@ -148,8 +154,11 @@
 // Leave comes first. What a hook refuses, and what comes while too many are open, is
 // answered here and sent nowhere.
 func (c *Core) Submit(tx *Transaction) {
+	tx.Asked = time.Now()
 	if c.hook != nil {
-		if a := c.hook.Transaction(tx); a != nil {
+		a := c.hook.Transaction(tx)
+		tx.Hooked = time.Since(tx.Asked)
+		if a != nil {
 			tx.Terminal.Answer(*a)
 			return
 		}
@@ -233,6 +242,56 @@
 	})
 }
 
+// Written takes a front's word that an answer's last byte is written, or could not be. It is
+// for observers alone.
+func (c *Core) Written(tx *Transaction, whole bool) {
+	if len(c.phases) > 0 {
+		c.post(func() {
+			for _, p := range c.phases {
+				p.Written(tx, whole)
+			}
+		})
+	}
+}
+
+// View is the policy's view of the regions, with the names of up to ViewNames of them.
+type View struct {
+	balance.View
+	Names map[balance.WorkerID]string
+}
+
+// ViewNames bounds the names in a View: the core makes no long list for one who watches.
+const ViewNames = 2000
+
+// View asks for the policy's view. It returns false where the core has ended, or is busy for so
+// long.
+func (c *Core) View(within time.Duration) (v View, ok bool) {
+	got := make(chan View, 1)
+	limit := time.NewTimer(within)
+	defer limit.Stop()
+	select {
+	case c.events <- func() {
+		v := View{c.balancer.View(c.now), map[balance.WorkerID]string{}}
+		for _, w := range v.Workers[:min(len(v.Workers), ViewNames)] {
+			v.Names[w.ID] = c.members[w.ID].Name
+		}
+		got <- v
+	}:
+	case <-c.closed:
+		return v, false
+	case <-limit.C:
+		return v, false
+	}
+	select {
+	case v = <-got:
+		return v, true
+	case <-c.closed:
+		return v, false
+	case <-limit.C:
+		return v, false
+	}
+}
+
 // answer gives the final answer, once.
 func (c *Core) answer(tx *Transaction, a Answer) {
 	if tx.over {
@@ -287,6 +346,12 @@
 		if f, ok := t.Transaction.Terminal.(Follower); ok && !t.Transaction.over {
 			f.Progress(share)
 		}
+		if !t.started {
+			t.started = true
+			for _, p := range c.phases {
+				p.Started(t)
+			}
+		}
 		c.balancer.Note(c.now, t.Transaction.job, t.No, kind, share)
 	})
 }
@@ -294,6 +359,7 @@
 // Ended takes the outcome of a routed task from its driver, which then holds nothing of
 // it any more. Only the first outcome counts; a later one just settles a cancelled task.
 func (c *Core) Ended(t *Task, s balance.Status, result []byte) {
+	t.Mark(Reported)
 	c.post(func() {
 		if !t.settled {
 			t.settled = true
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 package dispatch
 
 import (
+	"sync/atomic"
 	"time"
 
 	"tinroute.example/tinroute/balance"
@@ -63,8 +64,13 @@
 	Payload  any // the front's own; drivers find it at each routed task
 	Terminal Terminal
 	Trace    string           // a traceparent that the client sent, or empty
+	State    string           // a tracestate that came with it, or empty
 	Earlier  *balance.Earlier // an attempt from before the Submit that may have run, or nil
 
+	// Asked is when Submit was called, and Hooked how long the hook took; Submit sets them.
+	Asked  time.Time
+	Hooked time.Duration
+
 	job       balance.JobID
 	end       time.Duration
 	tasks     []*Task
@@ -87,15 +93,46 @@
 	No          int
 	Region      Region
 	Wait        time.Duration // how long the core will wait for it
+	// Trace is a traceparent to hand to the region, where the front has a place for it. An
+	// observer may set it when the task is Sent, and no one later.
+	Trace string
 
+	marks     [marks]atomic.Int64
 	sent      time.Duration
 	done      bool // its outcome has been given to the balancer
 	settled   bool // the driver holds nothing of it any more
 	withdrawn bool
 	unsent    bool // it never left: the driver was not told of it
+	started   bool
 	limit     *timer
 }
 
+// Mark is an instant on a routed task's way that its driver knows.
+type Mark uint8
+
+// The marks, in the order of the way. The first three are the driver's to set, the last is set
+// by Ended.
+const (
+	Connected Mark = iota // it has a connection
+	Written               // the last byte has been written
+	Accepted              // the region has taken it
+	Reported              // the driver has learned of its end
+	marks
+)
+
+var origin = time.Now()
+
+// Mark sets a mark to now, unless it is set. Any goroutine may call it.
+func (t *Task) Mark(m Mark) { t.marks[m].CompareAndSwap(0, int64(time.Since(origin))) }
+
+// At is when a mark was set, the zero time where it was not.
+func (t *Task) At(m Mark) time.Time {
+	if d := t.marks[m].Load(); d != 0 {
+		return origin.Add(time.Duration(d))
+	}
+	return time.Time{}
+}
+
 // Regions carries routed tasks. Its methods are called from the core's goroutine and must
 // not block. For each Start the driver calls Core.Ended; after Cancel it does so when the
 // region can no longer take the task up, with balance.StatusCancelled unless it learned of
@@ -123,6 +160,13 @@
 	Transaction(tx *Transaction) (refused *Answer)
 }
 
+// PhaseObserver is an Observer that is told of more, on the same terms: that a region has begun
+// with a task, and that an answer's last byte is written, or could not be.
+type PhaseObserver interface {
+	Started(t *Task)
+	Written(tx *Transaction, whole bool)
+}
+
 // Observer is told of what the core does, from the core's goroutine; it must not block.
 // Every transaction that Began is either Answered or has Left, and every task that was
 // Sent has Ended, perhaps after that.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"tinroute.example/tinroute/internal/otlp"
+	"tinroute.example/tinroute/internal/tail"
 )
 
 func example(t *testing.T) string {
@@ -107,3 +110,55 @@
 		require.ErrorContains(t, err, key)
 	}
 }
+
+// The OTEL_ variables win over the file, one signal's over all signals', and what is wrong is named.
+func TestTelemetry(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "telemetry.toml")
+	load := func(text string, env map[string]string) (*Telemetry, error) {
+		path := ""
+		if text != "" {
+			path = file
+			require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		}
+		return LoadTelemetry(path, func(k string) string { return env[k] })
+	}
+	for _, env := range []map[string]string{nil, {"OTEL_SERVICE_NAME": "x"}, {"OTEL_EXPORTER_OTLP_ENDPOINT": "http://x", "OTEL_SDK_DISABLED": "true"}} {
+		c, err := load("", env)
+		require.NoError(t, err)
+		require.Nil(t, c)
+	}
+	c, err := load("endpoint = 'http://file:4318/'\ntimeout = '3s'\nheaders = {a = 'b'}\nlogs = false\n[sampling]\nbytes = 1000\nslow = '2s'\n",
+		map[string]string{"OTEL_EXPORTER_OTLP_METRICS_ENDPOINT": "https://env/m", "OTEL_EXPORTER_OTLP_METRICS_PROTOCOL": "grpc",
+			"OTEL_EXPORTER_OTLP_METRICS_HEADERS": "c=d%20e,a=f", "OTEL_EXPORTER_OTLP_METRICS_TIMEOUT": "1500", "OTEL_EXPORTER_OTLP_COMPRESSION": "gzip"})
+	require.NoError(t, err)
+	require.Equal(t, map[otlp.Signal]otlp.Endpoint{
+		otlp.Traces:  {URL: "http://file:4318/v1/traces", Timeout: 3 * time.Second, Headers: map[string]string{"a": "b"}, Gzip: true},
+		otlp.Metrics: {URL: "https://env/m", GRPC: true, Timeout: 1500 * time.Millisecond, Headers: map[string]string{"a": "f", "c": "d e"}, Gzip: true},
+	}, c.Endpoints)
+	require.Equal(t, tail.Limits{Bytes: 1000, Rate: defaultTraceRate, Slow: 2 * time.Second}, c.Sampling)
+	const whole = "endpoint = 'http://x'\n"
+	for text, key := range map[string]string{
+		"endpoint = 'x'":                      "endpoint",
+		whole + "protocol = 'http/json'":      "protocol",
+		whole + "compression = 'zstd'":        "compression",
+		whole + "port = 1":                    "port",
+		whole + "timeout = 'soon'":            "timeout",
+		whole + "certificate = '/no/such'":    "certificate",
+		whole + "client_certificate = 'x'":    "client_key",
+		whole + "sampling = {rate=0}":         "sampling.rate",
+		whole + "sampling = {slow='-1s'}":     "sampling.slow",
+		whole + "spool = {bytes=-5}":          "spool.bytes",
+		whole + "spool = {dir='/dev/null/x'}": "spool.dir",
+		whole + "regions = 0":                 "regions",
+	} {
+		_, err := load(text, nil)
+		require.ErrorContains(t, err, key)
+		require.ErrorContains(t, err, "telemetry")
+	}
+	for name, value := range map[string]string{"OTEL_EXPORTER_OTLP_PROTOCOL": "tcp", "OTEL_EXPORTER_OTLP_TRACES_HEADERS": "secret",
+		"OTEL_EXPORTER_OTLP_TIMEOUT": "-3", "OTEL_LOGS_EXPORTER": "console", "OTEL_EXPORTER_OTLP_LOGS_ENDPOINT": "nowhere"} {
+		_, err := load(whole, map[string]string{name: value})
+		require.ErrorContains(t, err, name)
+		require.NotContains(t, err.Error(), "secret")
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,15 +48,15 @@
 
 // Daemon is a dispatcher that has not been started.
 type Daemon struct {
-	Config  *config.Config
-	Gearman *config.Gearman // nil where the second front is off
-	Log     *slog.Logger
-	Hangup  <-chan os.Signal                                                  // each asks for a reload; none where nil
-	Reread  func() (*config.Config, *config.Gearman, error)                   // reads the files again, for a reload
-	Wall    func() time.Time                                                  // the system's clock, time.Now where nil
-	Getenv  func(string) string                                               // for the OTEL_ variables; none where nil
-	Dial    func(ctx context.Context, network, addr string) (net.Conn, error) // a net.Dialer's where nil
-	Listen  func(network, addr string) (net.Listener, error)                  // net.Listen where nil
+	Config    *config.Config
+	Gearman   *config.Gearman // nil where the second front is off
+	Log       *slog.Logger
+	Hangup    <-chan os.Signal                                                  // each asks for a reload; none where nil
+	Reread    func() (*config.Config, *config.Gearman, error)                   // reads the files again, for a reload
+	Wall      func() time.Time                                                  // the system's clock, time.Now where nil
+	Telemetry *config.Telemetry                                                 // nil where it is off
+	Dial      func(ctx context.Context, network, addr string) (net.Conn, error) // a net.Dialer's where nil
+	Listen    func(network, addr string) (net.Listener, error)                  // net.Listen where nil
 }
 
 // front is one protocol's side, with a core of its own for its own fleet.
@@ -103,18 +103,19 @@
 		return nil
 	}
 
-	if d.Getenv == nil {
-		d.Getenv = func(string) string { return "" }
-	}
-	spans, err := telemetry.New(inner, d.Getenv, d.Config.Name, d.Log)
+	plain := d.Log
+	spans, err := telemetry.New(inner, d.Telemetry, d.Config.Name, plain)
 	if err != nil {
 		return err
 	}
 	if spans != nil {
+		d.Log = slog.New(spans.Handler(plain.Handler()))
 		defer func() {
+			stop() // the cores tell nothing more
 			if err := spans.Close(); err != nil {
-				d.Log.Warn("telemetry", "err", err)
+				plain.Warn("telemetry", "err", err)
 			}
+			d.Log = plain
 		}()
 	}
 	core, err := d.core(inner, "http", d.Config.Hooks, spans, d.Log)
@@ -173,6 +174,9 @@
 		})
 	}
 	drained.Wait()
+	if spans != nil {
+		spans.Flush() // while the cores can still be asked
+	}
 	time.Sleep(lastWords)
 	return nil
 }
@@ -199,13 +203,13 @@
 		o.Hook, o.Observers = hooks, append(o.Observers, hooks)
 	}
 	if spans != nil {
-		observer, err := spans.Observe(front, d.Config.Settings)
-		if err != nil {
-			return nil, err
-		}
-		o.Observers = append(o.Observers, observer)
+		o.Observers = append(o.Observers, spans.Observe(front, d.Config.Settings))
+	}
+	core, err := dispatch.New(o)
+	if err == nil && spans != nil {
+		err = spans.Watch(front, core)
 	}
-	return dispatch.New(o)
+	return core, err
 }
 
 // background opens the job store, if there is one, and gives the Gearman front what it needs to
--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -136,12 +136,13 @@
 	mode       string
 	conns      map[net.Conn]bool
 	tasks      map[string]net.Conn
+	traces     map[string]bool // that it was told of
 }
 
 func newRegion(w *world, name, cell string) *region {
 	l, err := w.net.Listen("tcp", name)
 	require.NoError(w.t, err)
-	r := &region{w: w, name: name, cell: cell, l: l, mode: "normal", conns: map[net.Conn]bool{}, tasks: map[string]net.Conn{}}
+	r := &region{w: w, name: name, cell: cell, l: l, mode: "normal", conns: map[net.Conn]bool{}, tasks: map[string]net.Conn{}, traces: map[string]bool{}}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -356,6 +357,11 @@
 			continue
 		}
 		id := q.Header.Get("Req-Id")
+		if p := q.Header.Get("Traceparent"); p != "" {
+			r.mu.Lock()
+			r.traces[p] = true
+			r.mu.Unlock()
+		}
 		switch r.got(id, c) {
 		case "silent":
 			last = id
--- a/internal/daemon/telemetry_test.go
+++ b/internal/daemon/telemetry_test.go
@@ -1,118 +1,198 @@
 package daemon
 
 import (
-	"io"
+	"fmt"
+	"maps"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	metrics "go.opentelemetry.io/proto/otlp/collector/metrics/v1"
-	traces "go.opentelemetry.io/proto/otlp/collector/trace/v1"
-	"google.golang.org/protobuf/proto"
+
+	"tinroute.example/tinroute/internal/collector"
+	"tinroute.example/tinroute/internal/config"
 )
 
-// collector is a stand-in that decodes what it is sent.
-type collector struct {
-	mu      sync.Mutex
-	spans   map[string]int  // by name and status
-	parents map[string]bool // span ids of transactions
-	orphans []string        // tasks under none
-	sums    map[string]int64
+// heard is a stand-in collector on both transports, and what it was sent.
+type heard struct {
+	*collector.Collector
+	mu             sync.Mutex
+	spans          []*collector.Span
+	metrics        map[string]int
+	logs           map[string]string // body of a line to its trace
+	overHTTP, gRPC string
 }
 
-func (c *collector) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if r.URL.Path == "/v1/traces" {
-		var q traces.ExportTraceServiceRequest
-		if proto.Unmarshal(body, &q) != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
+func newHeard(t *testing.T) *heard {
+	h := &heard{metrics: map[string]int{}, logs: map[string]string{}}
+	h.Collector = collector.New(func(b collector.Batch) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.spans = append(h.spans, collector.Spans(b)...)
+		for _, rm := range b.Metrics.GetResourceMetrics() {
+			for _, sm := range rm.ScopeMetrics {
+				for _, m := range sm.Metrics {
+					h.metrics[m.Name] = max(h.metrics[m.Name], len(m.GetExponentialHistogram().GetDataPoints())+
+						len(m.GetSum().GetDataPoints())+len(m.GetGauge().GetDataPoints()))
+				}
+			}
 		}
-		for _, rs := range q.ResourceSpans {
-			for _, ss := range rs.ScopeSpans {
-				for _, s := range ss.Spans {
-					what := s.Name
-					for _, a := range s.Attributes {
-						if a.Key == "status" || a.Key == "verdict" {
-							what += " " + a.Value.GetStringValue()
-						}
-					}
-					c.spans[what]++
-					if s.Name == "transaction" {
-						c.parents[string(s.SpanId)] = true
-					} else {
-						c.orphans = append(c.orphans, string(s.ParentSpanId))
-					}
+		for _, rl := range b.Logs.GetResourceLogs() {
+			for _, sl := range rl.ScopeLogs {
+				for _, l := range sl.LogRecords {
+					h.logs[l.Body.GetStringValue()] = string(l.TraceId)
 				}
 			}
 		}
-		return
+	})
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		return l
 	}
-	var q metrics.ExportMetricsServiceRequest
-	if proto.Unmarshal(body, &q) != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+	web, rpc := listen(), listen()
+	s, g := &http.Server{Handler: h}, h.GRPC()
+	go func() { _ = s.Serve(web) }()
+	go func() { _ = g.Serve(rpc) }()
+	t.Cleanup(func() { h.Close(); _ = s.Close(); g.Stop() })
+	h.overHTTP, h.gRPC = "http://"+web.Addr().String(), "http://"+rpc.Addr().String()
+	return h
+}
+
+// observed is a wire whose daemon exports telemetry as variables say.
+type observed struct {
+	wire
+	env map[string]string
+}
+
+func (o *observed) prepare(t *testing.T, w *world, d *Daemon) {
+	o.wire.prepare(t, w, d)
+	var err error
+	d.Telemetry, err = config.LoadTelemetry("", func(k string) string { return o.env[k] })
+	require.NoError(t, err)
+}
+
+func (h *heard) env(grpc bool) map[string]string {
+	if grpc {
+		return map[string]string{"OTEL_EXPORTER_OTLP_ENDPOINT": h.gRPC, "OTEL_EXPORTER_OTLP_PROTOCOL": "grpc", "OTEL_EXPORTER_OTLP_COMPRESSION": "gzip"}
 	}
-	for _, rm := range q.ResourceMetrics {
-		for _, sm := range rm.ScopeMetrics {
-			for _, m := range sm.Metrics {
-				c.sums[m.Name] = 0
-				for _, p := range append(m.GetSum().GetDataPoints(), m.GetGauge().GetDataPoints()...) {
-					c.sums[m.Name] += p.GetAsInt()
-				}
+	return map[string]string{"OTEL_EXPORTER_OTLP_ENDPOINT": h.overHTTP, "OTEL_EXPORTER_OTLP_COMPRESSION": "gzip", "OTEL_EXPORTER_OTLP_HEADERS": "x-key=a%20b"}
+}
+
+// Over both transports and on both fronts a collector is told of every request, of each of its
+// routed tasks once, linked to the one that it repeats, and of phases that fill the whole.
+func TestTelemetry(t *testing.T) {
+	for name, want := range map[string]struct {
+		verdicts map[string]int
+		tasks    int
+		links    int
+	}{
+		"served":    {nil, -1, -1},
+		"safe-lost": {map[string]int{"served": 1}, 2, 1},
+		"silent":    {map[string]int{"served": 1}, 2, 1},
+		"full":      {nil, -1, -1},
+		"keyed":     {nil, -1, -1},
+		"hook":      {nil, -1, -1},
+	} {
+		text, err := os.ReadFile("testdata/both/" + name + ".txt")
+		require.NoError(t, err)
+		for _, grpc := range []bool{false, true} {
+			for front, wr := range map[string]wire{"http": &httpWire{}, "gearman": &gearmanWire{}} {
+				t.Run(fmt.Sprintf("%s %s gRPC %t", name, front, grpc), func(t *testing.T) {
+					t.Parallel()
+					h := newHeard(t)
+					play(t, string(text), &loopback{}, &observed{wr, h.env(grpc)}, false)
+					h.mu.Lock()
+					require.Empty(t, collector.Check(h.spans), "%s, gRPC %t, %T", name, grpc, wr)
+					verdicts, tasks, links := map[string]int{}, 0, 0
+					for _, s := range h.spans {
+						if v := s.Attributes["tinroute.verdict"]; v != "" {
+							verdicts[v]++
+						}
+						if s.IsTask() {
+							tasks++
+							links += len(s.Links)
+						}
+					}
+					if want.verdicts != nil {
+						require.Equal(t, want.verdicts, verdicts, name)
+						require.Equal(t, []int{want.tasks, want.links}, []int{tasks, links}, name)
+					}
+					require.NotEmpty(t, h.spans)
+					for _, m := range []string{"tinroute.request.duration", "tinroute.phase.duration", "tinroute.answers", "tinroute.queue", "tinroute.region.slots",
+						"go.memory.used", "process.open_file_descriptor.count", "tinroute.telemetry.kept"} {
+						require.Positive(t, h.metrics[m], "%s of %v", m, h.metrics)
+					}
+					require.Contains(t, h.logs, "serving")
+					h.mu.Unlock()
+				})
 			}
 		}
 	}
 }
 
-// A collector is told of every transaction, every routed task under its transaction, and
-// of the counts, whichever front they came by.
-func TestTelemetry(t *testing.T) {
-	text, err := os.ReadFile("testdata/both/safe-lost.txt")
-	require.NoError(t, err)
-	for _, wr := range []wire{&httpWire{}, &gearmanWire{}} {
-		c := &collector{spans: map[string]int{}, parents: map[string]bool{}, sums: map[string]int64{}}
-		s := httptest.NewServer(c)
-		t.Setenv("OTEL_EXPORTER_OTLP_ENDPOINT", s.URL)
-		play(t, string(text), &loopback{}, &observed{wire: wr}, false)
-		s.Close()
-		require.Equal(t, map[string]int{"transaction served": 1, "task reset": 1, "task ok": 1}, c.spans)
-		for _, parent := range c.orphans {
-			require.True(t, c.parents[parent])
+// A client's trace is taken up, its own span is the parent, and regions are told of the task's span.
+func TestTraceContext(t *testing.T) {
+	h := newHeard(t)
+	const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	w := newWorld(t, &loopback{}, &observed{&httpWire{}, h.env(false)}, false)
+	w.regions["a"], w.regions["b"] = newRegion(w, "a", "0"), newRegion(w, "b", "0")
+	w.launch(nil)
+	w.line(`send 1 raw "POST /price-read HTTP/1.1\r\nHost: x\r\nReq-Id: 7\r\nTraceparent: ` + parent + `\r\nTracestate: vendor=x\r\nContent-Length: 0\r\n\r\n"`)
+	w.line("expect X task 7")
+	w.line("send X lost 7")
+	w.line("expect Y task 7")
+	w.line("send Y done 7")
+	w.line(`expect 1 raw "r7"`)
+	w.finish()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	requests := collector.Requests(h.spans)
+	require.Len(t, requests, 1)
+	require.Equal(t, "0af7651916cd43dd8448eb211c80319c b7ad6b7169203331", requests[0].Trace+" "+requests[0].Parent)
+	traces := map[string]bool{}
+	for _, s := range requests[0].Children {
+		if s.IsTask() {
+			traces["00-"+s.Trace+"-"+s.ID+"-01"] = true
 		}
-		require.Equal(t, map[string]int64{"tinroute.answers": 1, "tinroute.tasks": 2, "tinroute.duration": 0, "tinroute.queue": 0}, c.sums)
 	}
+	require.Len(t, traces, 2)
+	told := map[string]bool{}
+	for _, r := range w.regions {
+		r.mu.Lock()
+		maps.Copy(told, r.traces)
+		r.mu.Unlock()
+	}
+	require.Equal(t, traces, told)
 }
 
-// A collector that takes connections and says nothing costs no request and holds up no
-// end.
-func TestDeadCollector(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	t.Setenv("OTEL_EXPORTER_OTLP_ENDPOINT", "http://"+l.Addr().String())
-	t.Setenv("OTEL_BSP_SCHEDULE_DELAY", "1")
+// However a collector fails, no answer waits for it and the daemon ends in time.
+func TestBadCollector(t *testing.T) {
 	text, err := os.ReadFile("testdata/both/safe-lost.txt")
 	require.NoError(t, err)
-	began := time.Now()
-	play(t, string(text), &loopback{}, &observed{wire: &httpWire{}}, false)
-	require.Less(t, time.Since(began), 8*time.Second)
-}
-
-// observed is a wire whose daemon reads the OTEL_ variables.
-type observed struct{ wire }
-
-func (o *observed) prepare(t *testing.T, w *world, d *Daemon) {
-	o.wire.prepare(t, w, d)
-	d.Getenv = os.Getenv
+	for name, s := range map[string]collector.Script{"stall": {Mode: collector.Stall}, "trickle": {Mode: collector.Trickle}, "half": {Mode: collector.Half},
+		"reset": {Mode: collector.Reset}, "refuse": {Mode: collector.Refuse, Status: 503, RetryAfter: "3600"}, "cut": {Mode: collector.Cut}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHeard(t)
+			h.Play(s)
+			began := time.Now()
+			play(t, string(text), &loopback{}, &observed{&httpWire{}, h.env(false)}, false)
+			require.Less(t, time.Since(began), 8*time.Second)
+		})
+	}
+	for name, endpoint := range map[string]string{"refused": "http://127.0.0.1:1", "no such name": "http://collector.invalid:4318"} {
+		for _, protocol := range []string{"grpc", "http/protobuf"} {
+			t.Run(name+" "+strings.ReplaceAll(protocol, "/", " "), func(t *testing.T) {
+				t.Parallel()
+				began := time.Now()
+				play(t, string(text), &loopback{}, &observed{&httpWire{}, map[string]string{"OTEL_EXPORTER_OTLP_ENDPOINT": endpoint, "OTEL_EXPORTER_OTLP_PROTOCOL": protocol}}, false)
+				require.Less(t, time.Since(began), 8*time.Second)
+			})
+		}
+	}
 }
--- a/internal/gearman/regions.go
+++ b/internal/gearman/regions.go
@@ -115,11 +115,13 @@
 		}
 		return balance.StatusMoot, nil
 	}
+	t.Mark(dispatch.Connected)
 	data := Request(SubmitJob, j.function, j.unique, j.data)
 	if n, err := link.Write(conn, data); n < len(data) {
 		r.say(t, "request cut short", err)
 		return balance.StatusUnreachable, nil
 	}
+	t.Mark(dispatch.Written)
 	x := exchange{started: func() { r.core.Started(t) }, progress: func(s float64) { r.core.Progress(t, s) }}
 	for {
 		p, err := conn.Receive(ctx)
@@ -131,6 +133,9 @@
 			return balance.StatusReset, nil
 		}
 		status, over, err := x.take(p)
+		if x.handle != "" {
+			t.Mark(dispatch.Accepted)
+		}
 		if err != nil {
 			r.log.Warn("region answered", "region", t.Region.Name, "id", t.Transaction.ID, "err", err)
 		}
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -104,6 +104,7 @@
 type outgoing struct {
 	data  []byte
 	final bool // a job's final answer: the job keeps the connection busy until this is written
+	told  func(whole bool)
 }
 
 // client is one connection from a client, with any number of jobs up to the bound.
@@ -212,6 +213,9 @@
 	if p.final {
 		c.Busy(-1)
 	}
+	if p.told != nil {
+		p.told(err == nil)
+	}
 	return err == nil
 }
 
@@ -231,8 +235,9 @@
 type delivery struct {
 	to    map[*client]int // submissions of each
 	final bool
-	plain []byte // for clients without the option exceptions
-	full  []byte // for those with it
+	plain []byte           // for clients without the option exceptions
+	full  []byte           // for those with it
+	told  func(whole bool) // called when it is written to a client
 }
 
 // deliver tells a job's waiters. Where they are many that is not done on the calling goroutine,
@@ -261,7 +266,7 @@
 			d := s.fan[0]
 			s.fan = s.fan[1:]
 			s.mu.Unlock()
-			part := delivery{to: map[*client]int{}, final: d.final, plain: d.plain, full: d.full}
+			part := delivery{to: map[*client]int{}, final: d.final, plain: d.plain, full: d.full, told: d.told}
 			tell := func() {
 				s.mu.Lock()
 				s.tell(part)
@@ -288,7 +293,7 @@
 			data = d.full
 		}
 		for range n {
-			c.hand(outgoing{data, d.final})
+			c.hand(outgoing{data, d.final, d.told})
 		}
 		if d.final {
 			if c.owed -= n; c.owed == 0 {
--- a/internal/gearman/submit.go
+++ b/internal/gearman/submit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/zeebo/blake3"
@@ -354,7 +355,8 @@
 		return
 	}
 	j.tx = nil
-	d := delivery{final: true}
+	var once sync.Once
+	d := delivery{final: true, told: func(whole bool) { once.Do(func() { s.core.Written(t.tx, whole) }) }}
 	d.plain, d.full = j.answer(a)
 	background := j.entry.Background
 	if background && a.Verdict != dispatch.Served {
--- a/internal/platform/regions.go
+++ b/internal/platform/regions.go
@@ -92,13 +92,15 @@
 		return
 	}
 	// A write cut short proves that the region never had the whole request.
-	data := q.encode(c.task.Wait)
+	c.task.Mark(dispatch.Connected)
+	data := q.encode(c.task.Wait, c.task.Trace)
 	if n, err := link.Write(conn, data); n < len(data) {
 		_ = conn.Close()
 		r.say(c, "request cut short", err)
 		r.end(c, balance.StatusUnreachable, nil)
 		return
 	}
+	c.task.Mark(dispatch.Written)
 	m, err := conn.Receive(c.ctx)
 	if err != nil {
 		_ = conn.Close()
@@ -113,6 +115,7 @@
 	r.release(conn, m)
 	switch code := m.Response.StatusCode; {
 	case code == http.StatusAccepted:
+		c.task.Mark(dispatch.Accepted)
 		r.mu.Lock()
 		c.taken = true
 		gaveUp := c.gaveUp
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -62,7 +62,7 @@
 		return nil, fmt.Errorf("%s: missing for class %s", headerOnceKey, c.Name)
 	}
 	tx := &dispatch.Transaction{ID: id, Class: class, Tenant: -1, Patience: c.Deadline, Slots: 1,
-		Trace: h.Get(headerTrace)}
+		Trace: h.Get(headerTrace), State: h.Get("Tracestate")}
 	if owner := h.Get(headerOwner); owner != "" {
 		if t, ok := names.Tenant[owner]; ok {
 			tx.Tenant = t
@@ -151,13 +151,19 @@
 }
 
 // encode writes the request to a region, which is told how long we will wait.
-func (q *request) encode(wait time.Duration) []byte {
+func (q *request) encode(wait time.Duration, trace string) []byte {
 	b := make([]byte, 0, 512+len(q.body))
 	b = append(append(append(append(b, q.method...), ' '), q.uri...), " HTTP/1.1\r\nHost: "...)
 	b = append(append(b, q.host...), "\r\n"...)
 	for _, h := range q.headers {
+		if h[0] == headerTrace && trace != "" { // the client's own names its span, not our task's
+			continue
+		}
 		b = append(append(append(append(b, h[0]...), ": "...), h[1]...), "\r\n"...)
 	}
+	if trace != "" {
+		b = append(append(append(b, headerTrace+": "...), trace...), "\r\n"...)
+	}
 	b = append(b, headerDeadline+": "...)
 	b = strconv.AppendInt(b, max(1, wait.Microseconds()), 10)
 	b = append(b, "u\r\nContent-Length: "...)
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -71,6 +71,7 @@
 	ended   chan struct{} // the reader has ended, by err
 	err     error
 	quit    chan struct{} // nothing more is taken from in
+	wrote   bool          // the last answer, whole
 }
 
 // Answer takes the final answer of the transaction that the connection waits for.
@@ -148,7 +149,9 @@
 	for {
 		select {
 		case a := <-t.answers:
-			return t.final(m, a), false
+			goes := t.final(m, a)
+			t.core.Written(tx, t.wrote)
+			return goes, false
 		case <-ended:
 			if isMalformed(t.err) { // the client is still there and is owed this answer first
 				ended = nil
@@ -195,7 +198,8 @@
 // write sends one answer. A client that does not read it holds up its own connection only.
 func (t *terminal) write(data []byte) bool {
 	_, err := link.Write(t.Conn, data)
-	return err == nil
+	t.wrote = err == nil
+	return t.wrote
 }
 
 // event reads a call-back.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -1,10 +1,10 @@
-// Package telemetry tells an OpenTelemetry collector of what the core does, by OTLP over
-// HTTP: a span for each transaction with one for each of its routed tasks, and metrics.
+// Package telemetry tells an OpenTelemetry collector what the cores do, by OTLP: spans of requests,
+// metrics, and logs. It is off unless an endpoint is configured.
 //
-// It is off unless one of the standard OTEL_EXPORTER_OTLP_*ENDPOINT variables is set; the
-// SDK reads those and the other OTEL_ variables itself. It is bounded: spans wait in a
-// queue of fixed length and are dropped beyond it, so a collector that is dead or slow
-// costs telemetry and no requests.
+// The core's goroutine only notes what happens, in records that a budget bounds, and hands each to a
+// worker when its request is over. The worker decides whether the trace is kept (internal/tail),
+// records metrics, and makes spans of what is kept; the SDK encodes them, and internal/otlp
+// delivers. No step waits for the next: what does not fit is dropped and counted.
 package telemetry
 
 import (
@@ -12,16 +12,23 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/contrib/bridges/otelslog"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/otlp/otlplog/otlploghttp"
 	"go.opentelemetry.io/otel/exporters/otlp/otlpmetric/otlpmetrichttp"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	"go.opentelemetry.io/otel/metric"
-	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/metric/noop"
+	sdklog "go.opentelemetry.io/otel/sdk/log"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
@@ -29,202 +36,391 @@
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
+	"tinroute.example/tinroute/internal/config"
+	"tinroute.example/tinroute/internal/otlp"
+	"tinroute.example/tinroute/internal/spool"
+	"tinroute.example/tinroute/internal/tail"
 )
 
 const (
-	scope = "tinroute.example/tinroute"
-	// Spans that wait for the collector; a span takes about a kilobyte.
-	queueSize = 2048
-	batchSize = 256
-	// exportWait bounds one call, and closeWait the last ones, so that a dead collector
-	// cannot hold up the end.
-	exportWait = 5 * time.Second
-	closeWait  = time.Second
+	scope     = "tinroute.example/tinroute"
+	queueSize = 1024 // records on their way to the worker
+	batchSize = 256  // spans
+	flushWait = time.Second
+	// closeWait bounds the last deliveries, so that a dead collector cannot hold up the end.
+	closeWait = time.Second
+	// laneShare is the part of the budget that each lane's batches may take; the rest is for records.
+	laneShare = 0.2
+	logQueue  = 256
 )
 
-// Telemetry holds the SDK's providers.
+// Telemetry holds the export's parts.
 type Telemetry struct {
-	traces  *sdktrace.TracerProvider
-	metrics *sdkmetric.MeterProvider
+	o      *config.Telemetry
+	log    *slog.Logger
+	lanes  map[otlp.Signal]*otlp.Lane
+	meter  metric.Meter // nil where metrics are off
+	tracer trace.Tracer
+	batch  batcher
+	spansX sdktrace.SpanExporter
+	meters *sdkmetric.MeterProvider
+	logs   *sdklog.LoggerProvider
+	figures
+	regions, tenants names
+
+	mu      sync.Mutex
+	sampler *tail.Sampler
+	began   time.Time
+	open    sync.Map     // request id to trace.SpanContext, for log lines
+	lost    atomic.Int64 // records that found the worker too far behind
+	unheard atomic.Int64 // bare answers that did
+	behind  atomic.Int64 // traces that were to be kept, for which it had no time
+
+	ended  chan any // ended or bare
+	stop   context.CancelFunc
+	done   sync.WaitGroup // lanes
+	rest   chan struct{}  // closed where no more records come
+	worked chan struct{}
+}
+
+type ended struct {
+	o *Observer
+	r *record
 }
 
-// New starts telemetry, or returns nil where no endpoint is configured.
-func New(ctx context.Context, getenv func(string) string, instance string, log *slog.Logger) (*Telemetry, error) {
-	all := getenv("OTEL_EXPORTER_OTLP_ENDPOINT") != ""
-	wantTraces := all || getenv("OTEL_EXPORTER_OTLP_TRACES_ENDPOINT") != ""
-	wantMetrics := all || getenv("OTEL_EXPORTER_OTLP_METRICS_ENDPOINT") != ""
-	if !wantTraces && !wantMetrics || getenv("OTEL_SDK_DISABLED") == "true" {
+type bare struct {
+	o      *Observer
+	class  int
+	answer dispatch.Answer
+	left   bool
+	took   time.Duration
+}
+
+// New starts telemetry, or returns nil where o is.
+func New(ctx context.Context, o *config.Telemetry, instance string, log *slog.Logger) (*Telemetry, error) {
+	if o == nil {
 		return nil, nil
 	}
-	if p := getenv("OTEL_EXPORTER_OTLP_PROTOCOL"); p != "" && p != "http/protobuf" {
-		return nil, fmt.Errorf("OTEL_EXPORTER_OTLP_PROTOCOL: %q is not served, only http/protobuf", p)
-	}
 	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) { log.Warn("telemetry", "err", err) }))
 	res, err := resource.New(ctx, resource.WithAttributes(attribute.String("service.name", "tinroute"),
 		attribute.String("service.instance.id", instance)), resource.WithFromEnv(), resource.WithTelemetrySDK())
 	if err != nil {
 		return nil, fmt.Errorf("OTEL_RESOURCE_ATTRIBUTES: %w", err)
 	}
-	t := &Telemetry{}
-	traceOptions := []sdktrace.TracerProviderOption{sdktrace.WithResource(res)}
-	if wantTraces {
-		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithTimeout(exportWait),
-			otlptracehttp.WithRetry(otlptracehttp.RetryConfig{}))
+	limits := o.Sampling
+	limits.Bytes = int64(float64(limits.Bytes) * (1 - laneShare*float64(len(o.Endpoints))))
+	t := &Telemetry{o: o, log: log, lanes: map[otlp.Signal]*otlp.Lane{}, sampler: tail.New(limits), began: time.Now(),
+		ended: make(chan any, queueSize), rest: make(chan struct{}), worked: make(chan struct{}), regions: names{o.Regions, map[string]bool{}}, tenants: names{o.Tenants, map[string]bool{}}}
+	run, stop := context.WithCancel(context.Background())
+	t.stop = stop
+	last := sync.OnceValue(func() context.Context {
+		ctx, stop := context.WithTimeout(context.Background(), closeWait)
+		context.AfterFunc(ctx, stop)
+		return ctx
+	})
+	for s, e := range o.Endpoints {
+		transport, err := otlp.NewTransport(s, e)
 		if err != nil {
-			return nil, fmt.Errorf("OTEL_EXPORTER_OTLP_TRACES_ENDPOINT: %w", err)
+			stop()
+			return nil, fmt.Errorf("telemetry: %s: %w", s, err)
 		}
-		traceOptions = append(traceOptions, sdktrace.WithBatcher(exporter, sdktrace.WithMaxQueueSize(queueSize),
-			sdktrace.WithMaxExportBatchSize(batchSize), sdktrace.WithExportTimeout(exportWait)))
-	}
-	metricOptions := []sdkmetric.Option{sdkmetric.WithResource(res)}
-	if wantMetrics {
-		exporter, err := otlpmetrichttp.New(ctx, otlpmetrichttp.WithTimeout(exportWait),
-			otlpmetrichttp.WithRetry(otlpmetrichttp.RetryConfig{}))
-		if err != nil {
-			return nil, fmt.Errorf("OTEL_EXPORTER_OTLP_METRICS_ENDPOINT: %w", err)
+		lane := otlp.Options{Signal: s, Transport: transport, Log: log, Bytes: int64(laneShare * float64(o.Sampling.Bytes)), Pace: o.SpoolPace,
+			Seed: uint64(time.Now().UnixNano())}
+		if o.Spool != "" {
+			if lane.Spool, err = spool.Open(spool.Options{Dir: filepath.Join(o.Spool, s.String()), Bytes: o.SpoolMost / int64(len(o.Endpoints))}); err != nil {
+				stop()
+				return nil, fmt.Errorf("telemetry: spool.dir: %w", err)
+			}
 		}
-		metricOptions = append(metricOptions, sdkmetric.WithReader(sdkmetric.NewPeriodicReader(exporter,
-			sdkmetric.WithTimeout(exportWait))))
+		l := otlp.NewLane(lane)
+		t.lanes[s] = l
+		t.done.Go(func() { l.Run(run, last) })
+	}
+	if err := t.providers(ctx, res); err != nil {
+		stop()
+		return nil, err
 	}
-	t.traces, t.metrics = sdktrace.NewTracerProvider(traceOptions...), sdkmetric.NewMeterProvider(metricOptions...)
+	go t.work()
 	return t, nil
 }
 
-// Close sends what is left, within a bound.
-func (t *Telemetry) Close() error {
-	ctx, stop := context.WithTimeout(context.Background(), closeWait)
-	defer stop()
-	return errors.Join(t.traces.Shutdown(ctx), t.metrics.Shutdown(ctx))
+// nowhere is the endpoint that the SDK's exporters are given: their bytes go to a lane.
+const nowhere = "http://telemetry.invalid"
+
+func (t *Telemetry) client(s otlp.Signal) *http.Client {
+	return &http.Client{Transport: roundTrip{t.lanes[s]}}
 }
 
-// Observer watches one core. Its methods run on the core's goroutine, which owns the map.
-type Observer struct {
-	settings *balance.Settings
-	front    attribute.KeyValue
-	tracer   trace.Tracer
-	open     map[*dispatch.Transaction]*span
+type roundTrip struct{ *otlp.Lane }
 
-	answers, tasks, copies, cancels metric.Int64Counter
-	seconds                         metric.Float64Histogram
-	queue                           atomic.Int64 // transactions that no region has
+// providers sets the SDK up. It reads the OTEL_ variables of its own, but where batches go and how
+// they are compressed is decided here.
+func (t *Telemetry) providers(ctx context.Context, res *resource.Resource) (err error) {
+	spans := sdktrace.NewTracerProvider(sdktrace.WithResource(res), sdktrace.WithSampler(sdktrace.AlwaysSample()),
+		sdktrace.WithIDGenerator(ids{}), sdktrace.WithSpanProcessor(&t.batch))
+	t.tracer = spans.Tracer(scope)
+	if t.lanes[otlp.Traces] != nil {
+		if t.spansX, err = otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(nowhere+"/v1/traces"), otlptracehttp.WithHTTPClient(t.client(otlp.Traces)),
+			otlptracehttp.WithCompression(otlptracehttp.NoCompression), otlptracehttp.WithRetry(otlptracehttp.RetryConfig{})); err != nil {
+			return err
+		}
+	}
+	var meters metric.MeterProvider = noop.NewMeterProvider()
+	if t.lanes[otlp.Metrics] != nil {
+		x, err := otlpmetrichttp.New(ctx, otlpmetrichttp.WithEndpointURL(nowhere+"/v1/metrics"), otlpmetrichttp.WithHTTPClient(t.client(otlp.Metrics)),
+			otlpmetrichttp.WithCompression(otlpmetrichttp.NoCompression), otlpmetrichttp.WithRetry(otlpmetrichttp.RetryConfig{}))
+		if err != nil {
+			return err
+		}
+		t.meters = sdkmetric.NewMeterProvider(sdkmetric.WithResource(res), sdkmetric.WithReader(sdkmetric.NewPeriodicReader(x, sdkmetric.WithInterval(t.o.Interval))),
+			sdkmetric.WithView(sdkmetric.NewView(sdkmetric.Instrument{Kind: sdkmetric.InstrumentKindHistogram},
+				sdkmetric.Stream{Aggregation: sdkmetric.AggregationBase2ExponentialHistogram{MaxSize: 160, MaxScale: 20}})))
+		meters, t.meter = t.meters, t.meters.Meter(scope)
+		if err := t.own(t.meter); err != nil {
+			return err
+		}
+	}
+	if err := t.instruments(meters.Meter(scope)); err != nil {
+		return err
+	}
+	if t.lanes[otlp.Logs] != nil {
+		x, err := otlploghttp.New(ctx, otlploghttp.WithEndpointURL(nowhere+"/v1/logs"), otlploghttp.WithHTTPClient(t.client(otlp.Logs)),
+			otlploghttp.WithCompression(otlploghttp.NoCompression), otlploghttp.WithRetry(otlploghttp.RetryConfig{}))
+		if err != nil {
+			return err
+		}
+		t.logs = sdklog.NewLoggerProvider(sdklog.WithResource(res), sdklog.WithProcessor(sdklog.NewBatchProcessor(x, sdklog.WithMaxQueueSize(logQueue),
+			sdklog.WithExportMaxBatchSize(logQueue/2), sdklog.WithExportInterval(flushWait))))
+	}
+	return nil
 }
 
-// span is what is known of a transaction while it, or a routed task of it, is open.
-type span struct {
-	trace.Span
-	ctx   context.Context
-	began time.Time
-	over  bool
-	tasks map[*dispatch.Task]trace.Span
+// own registers what is told of the process and of telemetry itself.
+func (t *Telemetry) own(m metric.Meter) error {
+	var errs []error
+	gauge := func(name, unit, about string) metric.Int64ObservableGauge {
+		g, err := m.Int64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(about))
+		errs = append(errs, err)
+		return g
+	}
+	dropped, err := m.Int64ObservableCounter("tinroute.telemetry.dropped", metric.WithDescription("traces, batches and records dropped, by signal and reason"))
+	errs = append(errs, err)
+	kept, err := m.Int64ObservableCounter("tinroute.telemetry.kept", metric.WithDescription("traces kept, by reason"))
+	errs = append(errs, err)
+	used, waiting := gauge("tinroute.telemetry.used", "By", "memory that records hold"), gauge("tinroute.telemetry.waiting", "By", "batches that wait in memory")
+	spooled := gauge("tinroute.telemetry.spooled", "{batch}", "batches that wait on disk")
+	files, heap := gauge("process.open_file_descriptor.count", "{file_descriptor}", "open descriptors"), gauge("go.memory.used", "By", "memory that the Go runtime holds")
+	routines, gcs := gauge("go.goroutine.count", "{goroutine}", "goroutines"), gauge("go.gc.count", "{gc}", "collections since the start")
+	_, err = m.RegisterCallback(func(_ context.Context, to metric.Observer) error {
+		t.mu.Lock()
+		counts, bytes := t.sampler.Counts(), t.sampler.Used()
+		t.mu.Unlock()
+		counts["queue"] = t.lost.Load()
+		for why, n := range counts {
+			switch a := metric.WithAttributes(attribute.String("signal", "traces"), attribute.String("reason", string(why))); why {
+			case tail.Over, tail.Pressure, tail.Budget, "queue":
+				to.ObserveInt64(dropped, n, a)
+			default:
+				to.ObserveInt64(kept, n, a)
+			}
+		}
+		to.ObserveInt64(dropped, t.behind.Load(), metric.WithAttributes(attribute.String("signal", "traces"), attribute.String("reason", "behind")))
+		to.ObserveInt64(dropped, t.unheard.Load(), metric.WithAttributes(attribute.String("signal", "metrics"), attribute.String("reason", "queue")))
+		to.ObserveInt64(used, bytes)
+		for s, l := range t.lanes {
+			st, signal := l.Stats(), attribute.String("signal", s.String())
+			for why, n := range st.Dropped {
+				to.ObserveInt64(dropped, n, metric.WithAttributes(signal, attribute.String("reason", "batch_"+why)))
+			}
+			if st.Rejected > 0 {
+				to.ObserveInt64(dropped, st.Rejected, metric.WithAttributes(signal, attribute.String("reason", "rejected")))
+			}
+			to.ObserveInt64(waiting, st.Waiting, metric.WithAttributes(signal))
+			to.ObserveInt64(spooled, st.Spooled, metric.WithAttributes(signal))
+		}
+		if d, err := os.ReadDir("/proc/self/fd"); err == nil {
+			to.ObserveInt64(files, int64(len(d)))
+		}
+		var ms runtime.MemStats
+		runtime.ReadMemStats(&ms)
+		to.ObserveInt64(heap, int64(ms.Sys-ms.HeapReleased))
+		to.ObserveInt64(gcs, int64(ms.NumGC))
+		to.ObserveInt64(routines, int64(runtime.NumGoroutine()))
+		return nil
+	}, dropped, kept, used, waiting, spooled, files, heap, routines, gcs)
+	return errors.Join(append(errs, err)...)
 }
 
 // Observe returns an observer for the core of the front that is named.
-func (t *Telemetry) Observe(front string, s *balance.Settings) (*Observer, error) {
-	o := &Observer{settings: s, front: attribute.String("front", front), tracer: t.traces.Tracer(scope),
-		open: map[*dispatch.Transaction]*span{}}
-	m := t.metrics.Meter(scope)
-	var errs [6]error
-	o.answers, errs[0] = m.Int64Counter("tinroute.answers", metric.WithDescription("final answers, and clients that left"))
-	o.tasks, errs[1] = m.Int64Counter("tinroute.tasks", metric.WithDescription("routed tasks, by how they ended"))
-	o.copies, errs[2] = m.Int64Counter("tinroute.copies", metric.WithDescription("routed tasks sent while another was out"))
-	o.cancels, errs[3] = m.Int64Counter("tinroute.cancels", metric.WithDescription("routed tasks given up"))
-	o.seconds, errs[4] = m.Float64Histogram("tinroute.duration", metric.WithUnit("s"),
-		metric.WithDescription("from a request to its final answer"))
-	_, errs[5] = m.Int64ObservableGauge("tinroute.queue", metric.WithDescription("transactions that wait for a region"),
-		metric.WithInt64Callback(func(_ context.Context, to metric.Int64Observer) error {
-			to.Observe(o.queue.Load(), metric.WithAttributes(o.front))
-			return nil
-		}))
-	return o, errors.Join(errs[:]...)
-}
-
-func (o *Observer) class(tx *dispatch.Transaction) attribute.KeyValue {
-	return attribute.String("class", o.settings.Classes[tx.Class].Name)
-}
-
-// Began opens the transaction's span, under the client's own where it sent one.
-func (o *Observer) Began(tx *dispatch.Transaction) {
-	ctx := context.Background()
-	if tx.Trace != "" {
-		ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{"traceparent": tx.Trace})
-	}
-	s := &span{began: time.Now(), tasks: map[*dispatch.Task]trace.Span{}}
-	s.ctx, s.Span = o.tracer.Start(ctx, "transaction", trace.WithSpanKind(trace.SpanKindServer),
-		trace.WithAttributes(o.front, o.class(tx), attribute.String("id", tx.ID)))
-	o.open[tx] = s
-	o.queue.Add(1)
-}
-
-// Sent opens a routed task's span.
-func (o *Observer) Sent(t *dispatch.Task) {
-	s := o.open[t.Transaction]
-	if s == nil {
-		return
+func (t *Telemetry) Observe(front string, s *balance.Settings) *Observer {
+	return &Observer{t: t, front: front, settings: s, open: map[*dispatch.Transaction]*record{}}
+}
+
+func (t *Telemetry) reserve(n int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sampler.Reserve(n)
+}
+
+// take counts memory that is needed in any case.
+func (t *Telemetry) take(n int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sampler.Release(-n)
+}
+
+func (t *Telemetry) release(n int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sampler.Release(n)
+}
+
+// hand gives a record to the worker, unless it is too far behind.
+func (t *Telemetry) hand(e ended) {
+	select {
+	case t.ended <- e:
+	default:
+		t.lost.Add(1)
+		t.release(e.r.bytes)
 	}
-	if len(s.tasks) > 0 {
-		o.copies.Add(s.ctx, 1, metric.WithAttributes(o.front, o.class(t.Transaction)))
-	} else if !s.over {
-		o.queue.Add(-1)
+}
+
+func (t *Telemetry) bare(b bare) {
+	select {
+	case t.ended <- b:
+	default:
+		t.unheard.Add(1)
 	}
-	_, s.tasks[t] = o.tracer.Start(s.ctx, "task", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(o.front,
-		attribute.String("region", t.Region.Name), attribute.Int("number", t.No), attribute.Bool("copy", len(s.tasks) > 0)))
 }
 
-// Withdrawn counts a task that is given up.
-func (o *Observer) Withdrawn(t *dispatch.Task) {
-	o.cancels.Add(context.Background(), 1, metric.WithAttributes(o.front, o.class(t.Transaction)))
+func (t *Telemetry) live(id string, c trace.SpanContext) {
+	if t.logs != nil {
+		t.open.Store(id, c)
+	}
 }
 
-// Ended closes a routed task's span.
-func (o *Observer) Ended(t *dispatch.Task, status balance.Status, _ time.Duration) {
-	s := o.open[t.Transaction]
-	if s == nil || s.tasks[t] == nil {
-		return
+func (t *Telemetry) dead(id string) {
+	if t.logs != nil {
+		t.open.Delete(id)
 	}
-	o.tasks.Add(s.ctx, 1, metric.WithAttributes(o.front, attribute.String("status", status.String())))
-	child := s.tasks[t]
-	delete(s.tasks, t)
-	child.SetAttributes(attribute.String("status", status.String()))
-	if status != balance.StatusOK && status != balance.StatusCancelled {
-		child.SetStatus(codes.Error, status.String())
+}
+
+// work is the worker.
+func (t *Telemetry) work() {
+	defer close(t.worked)
+	flush := time.NewTicker(flushWait)
+	defer flush.Stop()
+	for {
+		select {
+		case e := <-t.ended:
+			t.take1(e)
+		case <-flush.C:
+			t.flush()
+		case <-t.rest:
+			for len(t.ended) > 0 {
+				t.take1(<-t.ended)
+			}
+			t.flush()
+			return
+		}
 	}
-	child.End()
-	if len(s.tasks) > 0 {
-		return
+}
+
+func (t *Telemetry) take1(e any) {
+	switch e := e.(type) {
+	case bare:
+		t.bareAnswer(e)
+	case ended:
+		t.mu.Lock()
+		keep, why := t.sampler.Decide(time.Since(t.began), e.r.summary(&e.o.settings.Classes[e.r.class]))
+		t.mu.Unlock()
+		ctx := background
+		if keep && len(t.ended) > queueSize/2 { // metrics first: a flood of kept traces must not cost the count of the rest
+			keep = false
+			t.behind.Add(1)
+		}
+		if keep = keep && t.spansX != nil; keep {
+			ctx = trace.ContextWithSpanContext(ctx, e.r.ids)
+		}
+		t.measure(ctx, e.o, e.r)
+		if keep {
+			t.spans(e.o, e.r, string(why))
+		}
+		t.release(e.r.bytes)
 	}
-	if s.over {
-		delete(o.open, t.Transaction)
-	} else if status != balance.StatusOK { // it waits again; an OK is answered in the same turn
-		o.queue.Add(1)
+	if len(t.batch.spans) >= batchSize {
+		t.flush()
 	}
 }
 
-// Answered closes the transaction's span.
-func (o *Observer) Answered(tx *dispatch.Transaction, a dispatch.Answer) {
-	o.close(tx, a.Verdict.String(), a.Verdict != dispatch.Served)
+// flush has the SDK encode what has ended; the bytes go to the lane, which never waits.
+func (t *Telemetry) flush() {
+	if len(t.batch.spans) > 0 && t.spansX != nil {
+		if err := t.spansX.ExportSpans(background, t.batch.spans); err != nil {
+			t.log.Warn("telemetry", "err", err)
+		}
+	}
+	clear(t.batch.spans)
+	t.batch.spans = t.batch.spans[:0]
+}
+
+// Handler returns a log handler that tells the collector too of what next is told, with the span of
+// the request that a line names by its id.
+func (t *Telemetry) Handler(next slog.Handler) slog.Handler {
+	if t == nil || t.logs == nil {
+		return next
+	}
+	return slog.NewMultiHandler(next, &spanned{t: t, Handler: otelslog.NewHandler(scope, otelslog.WithLoggerProvider(t.logs))})
+}
+
+// spanned finds the span of a line's request.
+type spanned struct {
+	slog.Handler
+	t *Telemetry
+}
+
+func (h *spanned) Handle(ctx context.Context, r slog.Record) error {
+	r.Attrs(func(a slog.Attr) bool {
+		if a.Key != "id" {
+			return true
+		}
+		if c, ok := h.t.open.Load(a.Value.String()); ok {
+			ctx = trace.ContextWithSpanContext(ctx, c.(trace.SpanContext))
+		}
+		return false
+	})
+	return h.Handler.Handle(ctx, r)
 }
 
-// Left closes the span of a transaction whose client is gone.
-func (o *Observer) Left(tx *dispatch.Transaction) { o.close(tx, "left", false) }
+func (h *spanned) WithAttrs(a []slog.Attr) slog.Handler { return &spanned{h.Handler.WithAttrs(a), h.t} }
+func (h *spanned) WithGroup(g string) slog.Handler      { return &spanned{h.Handler.WithGroup(g), h.t} }
 
-func (o *Observer) close(tx *dispatch.Transaction, verdict string, bad bool) {
-	s := o.open[tx]
-	if s == nil || s.over {
+// Flush takes a last reading of the metrics. It waits for the cores at most.
+func (t *Telemetry) Flush() {
+	if t.meters == nil {
 		return
 	}
-	s.over = true
-	if len(s.tasks) == 0 {
-		if verdict != dispatch.Served.String() {
-			o.queue.Add(-1)
-		}
-		delete(o.open, tx)
+	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+	defer cancel()
+	if err := t.meters.ForceFlush(ctx); err != nil {
+		t.log.Warn("telemetry", "err", err)
+	}
+}
+
+// Close sends what is left, within a bound. The cores must have ended.
+func (t *Telemetry) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+	defer cancel()
+	close(t.rest)
+	<-t.worked
+	var errs []error
+	if t.meters != nil {
+		errs = append(errs, t.meters.Shutdown(ctx))
 	}
-	v := attribute.String("verdict", verdict)
-	o.answers.Add(s.ctx, 1, metric.WithAttributes(o.front, o.class(tx), v))
-	o.seconds.Record(s.ctx, time.Since(s.began).Seconds(), metric.WithAttributes(o.front, o.class(tx), v))
-	s.SetAttributes(v)
-	if bad {
-		s.SetStatus(codes.Error, verdict)
+	if t.logs != nil {
+		errs = append(errs, t.logs.Shutdown(ctx))
 	}
-	s.End()
+	t.stop()
+	t.done.Wait()
+	return errors.Join(errs...)
 }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -4,80 +4,247 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
+	"tinroute.example/tinroute/internal/collector"
+	"tinroute.example/tinroute/internal/config"
+	"tinroute.example/tinroute/internal/otlp"
+	"tinroute.example/tinroute/internal/tail"
 )
 
-func env(pairs map[string]string) func(string) string {
-	return func(k string) string { return pairs[k] }
+var settings = &balance.Settings{Classes: []balance.Class{{Name: "price-read", Aim: time.Second}},
+	Tenants: []balance.Tenant{{Name: "argane-epargne"}}}
+
+// collected is a collector and what it took.
+type collected struct {
+	*collector.Collector
+	mu    sync.Mutex
+	spans []*collector.Span
+	logs  map[string]string
 }
 
-// Without an endpoint there is no telemetry, and what it cannot do it says by the key.
-func TestOffUnlessConfigured(t *testing.T) {
-	for _, e := range []map[string]string{nil, {"OTEL_SERVICE_NAME": "x"},
-		{"OTEL_EXPORTER_OTLP_ENDPOINT": "http://127.0.0.1:1", "OTEL_SDK_DISABLED": "true"}} {
-		tel, err := New(t.Context(), env(e), "n0", slog.New(slog.DiscardHandler))
-		require.NoError(t, err)
-		require.Nil(t, tel)
+func start(t testing.TB, s collector.Script, change func(*config.Telemetry)) (*Telemetry, *collected) {
+	c := &collected{logs: map[string]string{}}
+	c.Collector = collector.New(func(b collector.Batch) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.spans = append(c.spans, collector.Spans(b)...)
+		for _, rl := range b.Logs.GetResourceLogs() {
+			for _, sl := range rl.ScopeLogs {
+				for _, l := range sl.LogRecords {
+					c.logs[l.Body.GetStringValue()] = string(l.TraceId)
+				}
+			}
+		}
+	})
+	c.Play(s)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: c}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { c.Close(); _ = server.Close() })
+	o, err := config.LoadTelemetry("", func(k string) string {
+		return map[string]string{"OTEL_EXPORTER_OTLP_ENDPOINT": "http://" + l.Addr().String()}[k]
+	})
+	require.NoError(t, err)
+	o.Sampling.Rate = 1e6
+	if change != nil {
+		change(o)
 	}
-	_, err := New(t.Context(), env(map[string]string{"OTEL_EXPORTER_OTLP_ENDPOINT": "http://127.0.0.1:1",
-		"OTEL_EXPORTER_OTLP_PROTOCOL": "grpc"}), "n0", nil)
-	require.ErrorContains(t, err, "OTEL_EXPORTER_OTLP_PROTOCOL")
+	tel, err := New(context.Background(), o, "n0", slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	return tel, c
 }
 
-// follow is one transaction with a copy, and its queue afterwards.
-func follow(o *Observer) {
-	tx := &dispatch.Transaction{ID: "9b1f03aa5c7e2d41", Trace: "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"}
-	a, b := &dispatch.Task{Transaction: tx}, &dispatch.Task{Transaction: tx, No: 1}
+// follow is one transaction with a copy whose loser ends last.
+func follow(o *Observer, wait time.Duration) {
+	tx := &dispatch.Transaction{ID: "9b1f03aa5c7e2d41", Tenant: 0, Trace: "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", Asked: time.Now()}
+	a, b, c := &dispatch.Task{Transaction: tx}, &dispatch.Task{Transaction: tx, No: 1}, &dispatch.Task{Transaction: tx, No: 2}
 	o.Began(tx)
+	time.Sleep(wait)
 	o.Sent(a)
+	a.Mark(dispatch.Connected)
+	a.Mark(dispatch.Written)
+	time.Sleep(wait)
 	o.Sent(b)
-	o.Ended(a, balance.StatusOK, 0)
+	b.Mark(dispatch.Connected)
+	b.Mark(dispatch.Written)
+	b.Mark(dispatch.Accepted)
+	time.Sleep(wait)
+	o.Started(b)
+	o.Ended(b, balance.StatusReset, 0)
+	o.Sent(c)
+	time.Sleep(wait)
+	c.Mark(dispatch.Reported)
+	o.Ended(c, balance.StatusOK, 0)
 	o.Answered(tx, dispatch.Answer{})
-	o.Withdrawn(b)
-	o.Ended(b, balance.StatusCancelled, 0)
+	o.Withdrawn(a)
+	time.Sleep(wait)
+	o.Written(tx, true)
+	o.Ended(a, balance.StatusCancelled, 0)
 }
 
-func observer(t testing.TB) *Observer {
-	l, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and says nothing
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	t.Setenv("OTEL_EXPORTER_OTLP_ENDPOINT", "http://"+l.Addr().String())
-	tel, err := New(context.Background(), env(map[string]string{"OTEL_EXPORTER_OTLP_ENDPOINT": "set"}), "n0", slog.New(slog.DiscardHandler))
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = tel.Close() })
-	o, err := tel.Observe("http", &balance.Settings{Classes: []balance.Class{{Name: "price-read"}}})
-	require.NoError(t, err)
-	return o
+// Three attempts on three regions whose first ends last are one request: whole, linked, and without
+// gaps.
+func TestThreeAttempts(t *testing.T) {
+	tel, c := start(t, collector.Script{}, nil)
+	o := tel.Observe("http", settings)
+	follow(o, 5*time.Millisecond)
+	require.Empty(t, o.open)
+	require.NoError(t, tel.Close())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	require.Empty(t, collector.Check(c.spans))
+	r := collector.Requests(c.spans)
+	require.Len(t, r, 1)
+	require.Equal(t, "b7ad6b7169203331", r[0].Parent)
+	require.Equal(t, "argane-epargne", r[0].Attributes["tinroute.tenant"])
+	phases := map[string]bool{}
+	for _, k := range r[0].Children {
+		if k.IsTask() && k.Attributes["tinroute.attempt"] == "0" {
+			for _, p := range k.Children {
+				phases[p.Name] = true
+			}
+		}
+	}
+	require.Equal(t, map[string]bool{"connect": true, "write": true, "accept": true, "cancel": true}, phases)
+	require.Zero(t, tel.sampler.Used(), "no memory is held by what is over")
 }
 
-// Whatever way a transaction takes, nothing of it is kept, and it leaves the queue.
-func TestNothingIsKept(t *testing.T) {
-	o := observer(t)
-	follow(o)
-	tx := &dispatch.Transaction{}
-	task := &dispatch.Task{Transaction: tx}
+// A client that leaves, a front that never tells of its write, a trace open at the end: nothing is
+// kept of any, and nothing is half told.
+func TestEnds(t *testing.T) {
+	tel, c := start(t, collector.Script{}, nil)
+	o := tel.Observe("http", settings)
+	left := &dispatch.Transaction{ID: "left", Asked: time.Now()}
+	k := &dispatch.Task{Transaction: left}
+	o.Began(left)
+	o.Sent(k)
+	o.Left(left)
+	require.Len(t, o.open, 1, "its task is still out")
+	o.Ended(k, balance.StatusCancelled, 0)
+	require.Empty(t, o.open)
+	silent := &dispatch.Transaction{ID: "silent", Asked: time.Now()}
+	o.Began(silent)
+	o.Answered(silent, dispatch.Answer{Verdict: dispatch.Refused, Reason: "no room"})
+	require.Len(t, o.open, 1)
+	o.sweep(time.Now().Add(settleWait))
+	require.Empty(t, o.open)
+	o.Began(&dispatch.Transaction{ID: "open", Asked: time.Now()})
+	require.NoError(t, tel.Close())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	require.Empty(t, collector.Check(c.spans))
+	verdicts := map[string]string{}
+	for _, r := range collector.Requests(c.spans) {
+		verdicts[r.Attributes["tinroute.request.id"]] = r.Attributes["tinroute.verdict"]
+	}
+	require.Equal(t, map[string]string{"left": "left", "silent": "refused"}, verdicts)
+}
+
+// A log line that names an open request carries its trace; others carry none.
+func TestLogs(t *testing.T) {
+	tel, c := start(t, collector.Script{}, nil)
+	log := slog.New(tel.Handler(slog.DiscardHandler)).With("front", "http")
+	o := tel.Observe("http", settings)
+	tx := &dispatch.Transaction{ID: "7", Asked: time.Now(), Trace: "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"}
 	o.Began(tx)
-	require.EqualValues(t, 1, o.queue.Load())
-	o.Sent(task)
-	require.Zero(t, o.queue.Load())
-	o.Ended(task, balance.StatusReset, 0)
-	require.EqualValues(t, 1, o.queue.Load())
+	log.Info("region reset", "region", "a", "id", "7")
+	log.Info("service table", "version", 3)
 	o.Left(tx)
-	require.Zero(t, o.queue.Load())
-	require.Empty(t, o.open)
+	log.Info("region answered", "id", "7")
+	require.NoError(t, tel.Close())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	require.Equal(t, map[string]string{"region reset": "\x0a\xf7\x65\x19\x16\xcd\x43\xdd\x84\x48\xeb\x21\x1c\x80\x31\x9c", "service table": "", "region answered": ""}, c.logs)
+}
+
+// Memory stays at the budget, and the core's side never waits, while the collector is dead and
+// requests flood in: every one counted, as kept or as dropped for a reason.
+func TestFlood(t *testing.T) {
+	tel, _ := start(t, collector.Script{Mode: collector.Stall}, nil)
+	o := tel.Observe("http", settings)
+	requests := 100_000
+	if testing.Short() {
+		requests = 10_000
+	}
+	if n, err := strconv.Atoi(os.Getenv("TINROUTE_REQUESTS")); err == nil {
+		requests = n
+	}
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before, most := heap(), uint64(0)
+	for i := range requests {
+		follow(o, 0)
+		if i%(requests/10) == 0 {
+			most = max(most, heap())
+		}
+	}
+	require.Less(t, most-min(most, before), uint64(16<<20))
+	tel.mu.Lock()
+	require.LessOrEqual(t, tel.sampler.Used(), tel.sampler.Bytes+taskBytes*3)
+	tel.mu.Unlock()
+	require.NoError(t, tel.Close())
+	counts, sum := tel.sampler.Counts(), tel.lost.Load()
+	for why, n := range counts {
+		if why != tail.Budget { // those were decided by a bare answer
+			sum += n
+		}
+	}
+	require.EqualValues(t, requests, sum+counts[tail.Budget])
+	st := tel.lanes[otlp.Traces].Stats()
+	require.LessOrEqual(t, st.Waiting, int64(4<<20))
+	t.Logf("%d requests: %v, %d with the worker behind, %d traces dropped for that; batches dropped %v; heap grew by %d KB at most", requests, counts, tel.lost.Load(), tel.behind.Load(), st.Dropped, (most-min(most, before))>>10)
+}
+
+// 10,000 regions make no more series than the bound, and one for the others.
+func TestCardinality(t *testing.T) {
+	n := names{100, map[string]bool{}}
+	got := map[string]bool{}
+	for i := range 10_000 {
+		got[n.of(string(rune(i)))] = true
+	}
+	require.Len(t, got, 101)
+	require.True(t, got["other"])
 }
 
-// BenchmarkDeadCollector is the cost of a transaction with a copy while no collector
-// answers.
-func BenchmarkDeadCollector(b *testing.B) {
-	o := observer(b)
-	b.ReportAllocs()
-	for b.Loop() {
-		follow(o)
+// BenchmarkRequest is what a request with three attempts costs, by how the collector is: on the core's
+// goroutine and on the worker's together.
+func BenchmarkRequest(b *testing.B) {
+	for name, s := range map[string]collector.Script{"healthy": {}, "stalled": {Mode: collector.Stall}} {
+		for _, rate := range []float64{20, 1e6} {
+			b.Run(name+map[bool]string{true: "/all kept", false: "/as it comes"}[rate > 20], func(b *testing.B) {
+				tel, _ := start(b, s, func(o *config.Telemetry) { o.Sampling.Rate = rate })
+				o := tel.Observe("http", settings)
+				b.ReportAllocs()
+				for b.Loop() {
+					tx := &dispatch.Transaction{ID: "9b1f03aa5c7e2d41", Asked: time.Now()}
+					k := &dispatch.Task{Transaction: tx}
+					o.Began(tx)
+					o.Sent(k)
+					o.Started(k)
+					k.Mark(dispatch.Reported)
+					o.Ended(k, balance.StatusOK, 0)
+					o.Answered(tx, dispatch.Answer{})
+					o.Written(tx, true)
+				}
+				b.StopTimer()
+				_ = tel.Close()
+			})
+		}
 	}
 }
