Command line on kong: serve, check, version and completion around the same daemon

Change: internal/cli, with serve as the default word, check that explains every settings file or names the fault, log formats (text, JSON, tint) and levels, documented exit codes, shell completion. Flags with one dash go on working, and the program without a word is what it was.

--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,67 @@
+package cli
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func call(env map[string]string, args ...string) (code int, out, err string) {
+	var o, e bytes.Buffer
+	code = Main(Env{Args: args, Getenv: func(k string) string { return env[k] }, Out: &o, Err: &e})
+	return code, o.String(), e.String()
+}
+
+func TestCheck(t *testing.T) {
+	env := map[string]string{"LB_CONFIG": "../../example/config.json", "OTEL_EXPORTER_OTLP_ENDPOINT": "http://127.0.0.1:4318"}
+	gearman := filepath.Join(t.TempDir(), "gearman.toml")
+	require.NoError(t, os.WriteFile(gearman, []byte("listen = 'x:1'\ndiscovery = 'y:2'\n[store]\npath = '/jobs'\n"), 0o600))
+	code, out, _ := call(env, "check", "--gearman", gearman)
+	require.Equal(t, ExitOK, code)
+	for _, text := range []string{"n0 listens at 127.0.0.1:5000", "class price-fix", "repeated within 7.5s, in the same cell", "safe to repeat",
+		"Gearman: listens at x:1", "kept in /jobs", "traces go to http://127.0.0.1:4318/v1/traces over HTTP", "tenant argane-epargne"} {
+		require.Contains(t, out, text)
+	}
+	code, out, _ = call(map[string]string{"LB_CONFIG": "../../example/config.json"}, "check", "-gearman", "../../deploy/gearman.toml") // one dash, as it was
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "background jobs are off")
+	require.Contains(t, out, "telemetry: off")
+	require.NoError(t, os.WriteFile(gearman, []byte("listen = 'x:1'\ndiscovery = 'y:2'\nlisten_too = 1\n"), 0o600))
+	code, out, _ = call(env, "check", "--gearman", gearman)
+	require.Equal(t, ExitFaulty, code)
+	require.Contains(t, out, "listen_too: unknown key")
+}
+
+func TestUsage(t *testing.T) {
+	code, _, err := call(nil, "brew")
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, err, "brew")
+	code, _, err = call(nil, "--log-format", "xml")
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, err, "log-format")
+	code, out, _ := call(nil, "--help")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "check")
+	code, out, _ = call(nil, "version")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "tinroute")
+}
+
+// Without a word it serves, and says in one log line why it cannot.
+func TestServeIsTheDefault(t *testing.T) {
+	code, _, err := call(nil)
+	require.Equal(t, ExitFailed, code)
+	require.Contains(t, err, `msg="cannot serve" err="LB_CONFIG: not set"`)
+	code, _, err = call(nil, "--log-format", "json", "serve")
+	require.Equal(t, ExitFailed, code)
+	require.Contains(t, err, `"msg":"cannot serve"`)
+	code, _, err = call(nil, "--log-format", "tint")
+	require.Equal(t, ExitFailed, code)
+	require.Contains(t, err, "cannot serve")
+	code, _, err = call(map[string]string{"LB_CONFIG": "../../example/config.json"}, "--telemetry", "/no/such")
+	require.Equal(t, ExitFailed, code)
+	require.Contains(t, err, "/no/such")
+}
