--- a/balance/balance.go
+++ b/balance/balance.go
@@ -79,7 +79,8 @@
 	c := &b.classes[r.Class]
 	j := &job{Job: r, c: c, end: now + r.Patience, born: now - max(0, c.Deadline-r.Patience)}
 	if e := r.Earlier; e != nil { // a repeat must be as harmless as if it were ours
-		j.earlier = &attempt{j: j, no: -1, w: &worker{Member: Member{Zone: e.Zone, Cell: e.Cell}}, sent: now - e.Ago, done: true, ran: true}
+		w := &worker{Member: Member{Zone: e.Zone, Cell: e.Cell}}
+		j.earlier = &attempt{j: j, no: -1, w: w, sent: now - e.Ago, done: true, ran: true}
 	}
 	b.jobs[r.ID] = j
 	j.worth = c.Worth * b.share(r.Tenant)
