Gearman: answer who waits for a stored job that cannot be offered

Seen on reading the change again: a client that joined a timed or backed-off job, or any stored job while the process drained, was never answered, and held the drain until the kill. A client that left such a job stayed in the book. A cancel that the store did not take was told as done.

Change: who waits is answered within the function's deadline, and at once when the drain begins; an offer that was about to leave as the word came is not made; a promoted job that has ended meanwhile is a new one. Withdraw finds a job by its handle and no longer sorts the whole book for each.

Test: background-waiter.txt, which failed before.

--- a/internal/background/keeper.go
+++ b/internal/background/keeper.go
@@ -35,7 +35,7 @@
 	// Offer submits a job; the front calls Keeper.Ended once for it.
 	Offer(j *jobstore.Stored, earlier *balance.Earlier)
 	// Withdraw takes an offer back that has not been sent; Ended is not called for it any more.
-	Withdraw(id uint64)
+	Withdraw(j *jobstore.Stored)
 	// Buried tells that a job has ended among the dead letters: whoever waits is told.
 	Buried(j *jobstore.Stored, reason string)
 	// Missing tells that a job which the front wanted promoted has ended meanwhile.
@@ -69,7 +69,7 @@
 	held     map[uint64]*flight // read, offered or being settled: not to be read again
 	ready    []*flight
 	ends     []end
-	asked    []uint64 // to be promoted
+	asked    []asked  // to be promoted
 	stuck    []func() // changes that the store did not take
 	draining bool
 	counts   Counts
@@ -89,6 +89,11 @@
 	over    bool // cancelled, or ended and being written down
 }
 
+type asked struct {
+	id     uint64
+	handle string
+}
+
 type end struct {
 	id    uint64
 	how   recovery.End
@@ -235,9 +240,9 @@
 
 // Promote offers a stored job next, since a client waits for it now. One that is not due by its
 // client's own word waits on.
-func (k *Keeper) Promote(id uint64) {
+func (k *Keeper) Promote(id uint64, handle string) {
 	k.mu.Lock()
-	k.asked = append(k.asked, id)
+	k.asked = append(k.asked, asked{id, handle})
 	k.mu.Unlock()
 	k.poke()
 }
@@ -246,16 +251,16 @@
 func (k *Keeper) Drain() {
 	k.mu.Lock()
 	k.draining = true
-	var back []uint64
-	for id, f := range k.held {
+	var back []*jobstore.Stored
+	for _, f := range k.held {
 		if f.offered && !f.sent && !f.over {
-			back = append(back, id)
+			back = append(back, f.job)
 		}
 	}
 	k.ready = nil
 	k.mu.Unlock()
-	for _, id := range back {
-		k.front.Withdraw(id)
+	for _, j := range back {
+		k.front.Withdraw(j)
 	}
 	k.o.Log.Info("background jobs stay stored", "jobs", k.o.Store.Counts().Jobs, "withdrawn", len(back))
 }
@@ -311,8 +316,8 @@
 	for _, e := range ends {
 		k.settle(e)
 	}
-	for _, id := range asked {
-		k.promote(id, draining)
+	for _, a := range asked {
+		k.promote(a, draining)
 	}
 	wait = look
 	for !draining {
@@ -409,7 +414,8 @@
 	k.front.Offer(f.job, d.Earlier)
 }
 
-func (k *Keeper) promote(id uint64, draining bool) {
+func (k *Keeper) promote(a asked, draining bool) {
+	id := a.id
 	k.mu.Lock()
 	f := k.held[id]
 	if f != nil {
@@ -421,10 +427,10 @@
 				return
 			}
 		}
-		over, job := f.over, f.job
+		over := f.over
 		k.mu.Unlock()
 		if over {
-			k.front.Missing(job.Job.Handle)
+			k.front.Missing(a.handle)
 		}
 		return
 	}
@@ -433,10 +439,11 @@
 		return
 	}
 	j, err := k.o.Store.Get(id)
-	if err != nil || j.State.Dead != "" {
-		if err == nil {
-			k.front.Missing(j.Job.Handle)
-		}
+	switch {
+	case errors.Is(err, jobstore.ErrUnknown) || err == nil && j.State.Dead != "": // it has ended meanwhile
+		k.front.Missing(a.handle)
+		return
+	case err != nil: // the store has said so in the log
 		return
 	}
 	if j.State.Timed && j.State.Due > time.Duration(k.o.Wall().UnixNano()) {
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -66,11 +66,12 @@
 	nextJob  atomic.Uint64
 	classes  map[string]*balance.Class // by function
 
-	mu      sync.Mutex
-	book    *jobbook.Book[*client]
-	dropped map[string]bool // functions that take no new jobs
-	fan     []delivery      // what waits to be told to many
-	fanning bool
+	mu       sync.Mutex
+	book     *jobbook.Book[*client]
+	dropped  map[string]bool // functions that take no new jobs
+	draining bool            // no stored job is offered any more
+	fan      []delivery      // what waits to be told to many
+	fanning  bool
 }
 
 // NewServer returns a server for the core, which must have NewWatch among its observers.
@@ -94,6 +95,10 @@
 // when every job that was sent is answered. Background jobs that were not stay stored.
 func (s *Server) Drain(ctx context.Context, g link.Grace) {
 	if s.keeper != nil {
+		s.mu.Lock()
+		s.draining = true
+		s.failUnoffered()
+		s.mu.Unlock()
 		s.keeper.Drain()
 	}
 	s.core.Drain(g.Free, g.Within)
@@ -178,7 +183,11 @@
 	s.mu.Lock()
 	c.gone = true
 	var out []*dispatch.Transaction
-	for _, e := range s.book.Leave(c) {
+	givenUp, unwatched := s.book.Leave(c)
+	for _, e := range unwatched {
+		s.rest(e.Payload.(*job))
+	}
+	for _, e := range givenUp {
 		j := e.Payload.(*job)
 		if j.tx != nil {
 			out = append(out, j.tx)
--- a/internal/gearman/stored.go
+++ b/internal/gearman/stored.go
@@ -29,6 +29,10 @@
 // Offer submits a stored job.
 func (s *Server) Offer(o *jobstore.Stored, earlier *balance.Earlier) {
 	s.mu.Lock()
+	if s.draining { // the keeper was about to when the word came
+		s.mu.Unlock()
+		return
+	}
 	j := s.reopen(o)
 	j.offers = max(j.offers, o.State.Offers+o.State.Sends) // ids that were in use before a restart are not used again
 	tx := s.transaction(j, s.file.Functions[j.function])
@@ -38,15 +42,14 @@
 }
 
 // Withdraw takes an offer back.
-func (s *Server) Withdraw(id uint64) {
+func (s *Server) Withdraw(o *jobstore.Stored) {
 	s.mu.Lock()
 	var tx *dispatch.Transaction
-	for _, e := range s.book.Jobs(-1) {
-		if j := e.Payload.(*job); j.number() == id && j.tx != nil {
-			tx, j.tx = j.tx, nil
-			s.fail(j, "the dispatcher is ending; the job stays stored")
-			s.rest(j)
-		}
+	if e := s.book.Handle(o.Job.Handle); e != nil {
+		j := e.Payload.(*job)
+		tx, j.tx = j.tx, nil
+		s.fail(j, ending)
+		s.rest(j)
 	}
 	s.mu.Unlock()
 	if tx != nil {
@@ -111,7 +114,7 @@
 
 // cancel ends a job by its handle, wherever it is, and tells who waits for it. It waits for the
 // disk.
-func (s *Server) cancel(handle string) bool {
+func (s *Server) cancel(handle string) error {
 	s.mu.Lock()
 	var tx *dispatch.Transaction
 	e := s.book.Handle(handle)
@@ -120,7 +123,7 @@
 		j := e.Payload.(*job)
 		if j.put != nil { // it is not known to be stored yet, and its submitters wait for that word
 			s.mu.Unlock()
-			return false
+			return jobstore.ErrUnknown
 		}
 		background = e.Background
 		tx, j.tx = j.tx, nil
@@ -131,10 +134,11 @@
 	if tx != nil {
 		s.core.Leave(tx)
 	}
-	if background && s.keeper != nil {
-		if err := s.keeper.Cancel(handle); err != nil && e == nil {
-			return false
-		}
+	if !background {
+		return nil
+	}
+	if s.keeper == nil {
+		return jobstore.ErrUnknown
 	}
-	return e != nil || background && s.keeper != nil
+	return s.keeper.Cancel(handle)
 }
--- a/internal/gearman/submit.go
+++ b/internal/gearman/submit.go
@@ -172,14 +172,13 @@
 		return
 	}
 	e := c.book.Find(j.function, j.unique)
-	promote := uint64(0)
-	switch {
-	case e == nil && stored != nil:
-		promote = stored.Job.ID
+	if e == nil && stored != nil {
 		e = c.reopen(stored).entry
-	case e != nil:
-		if o := e.Payload.(*job); e.Background && o.tx == nil && o.put == nil { // it waits for its next offer
-			promote = o.number()
+	}
+	var promote *job // it waits for its next offer
+	if e != nil {
+		if o := e.Payload.(*job); o.unoffered() {
+			promote = o
 		}
 	}
 	var tx *dispatch.Transaction
@@ -202,8 +201,48 @@
 	if tx != nil {
 		c.core.Submit(tx)
 	}
-	if promote != 0 {
-		c.keeper.Promote(promote)
+	if promote != nil {
+		c.promote(promote)
+	}
+}
+
+// unoffered tells whether a stored job is on disk and not with the core. s.mu is held.
+func (j *job) unoffered() bool { return j.entry.Background && j.tx == nil && j.put == nil }
+
+// promote has a stored job offered next, since a client waits for it. It may not be due by its own
+// client's word, or be just being written down: whoever waits for it gets an answer within the
+// function's deadline all the same, and at once if nothing is offered any more.
+func (s *Server) promote(j *job) {
+	late := func(reason string) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if j.unoffered() && s.book.Handle(j.handle) == j.entry {
+			s.fail(j, reason)
+			s.rest(j)
+		}
+	}
+	s.mu.Lock()
+	draining := s.draining
+	s.mu.Unlock()
+	if draining {
+		late(ending)
+		return
+	}
+	s.keeper.Promote(j.number(), j.handle)
+	time.AfterFunc(s.file.Functions[j.function].Deadline, func() { late("its time has not come") })
+}
+
+// ending is what those are told who wait for a stored job when the process ends.
+const ending = "the dispatcher is ending; the job stays stored"
+
+// failUnoffered tells those who wait for stored jobs that are not with the core that they wait in vain. s.mu
+// is held.
+func (s *Server) failUnoffered() {
+	for _, e := range s.book.Jobs(-1) {
+		if j := e.Payload.(*job); j.unoffered() {
+			s.fail(j, ending)
+			s.rest(j)
+		}
 	}
 }
 
@@ -315,7 +354,7 @@
 	if resubmit {
 		tx = s.transaction(j, s.file.Functions[j.function])
 	}
-	promote := err == nil && j.entry.Waiting > 0 && j.tx == nil
+	promote := err == nil && j.entry.Waiting > 0 && j.unoffered()
 	s.rest(j)
 	s.mu.Unlock()
 	for _, r := range replies {
@@ -327,7 +366,7 @@
 	case tx != nil:
 		s.core.Leave(tx)
 	case promote:
-		s.keeper.Promote(j.number())
+		s.promote(j)
 	}
 }
 
@@ -366,6 +405,9 @@
 	} else {
 		d.to = s.book.Close(j.entry)
 	}
+	if len(d.to) == 0 { // no one is written to, and observers wait for no one
+		d.told(true)
+	}
 	s.deliver(d)
 	s.mu.Unlock()
 	if background {
--- a/internal/gearman/text.go
+++ b/internal/gearman/text.go
@@ -76,10 +76,7 @@
 		if len(f) < 3 {
 			return fmt.Sprintf(errArgs, "cancel+job")
 		}
-		if !c.cancel(f[2]) {
-			return errJob
-		}
-		return textOK
+		return storeAnswer(c.cancel(f[2]))
 	case "create function":
 		return c.create(arg(2))
 	case "drop function":
@@ -236,7 +233,12 @@
 		}
 		return fmt.Sprintf("OK %d\r\n", n)
 	}
-	switch err := s.keeper.Release(handle); {
+	return storeAnswer(s.keeper.Release(handle))
+}
+
+// storeAnswer words what came of a change of one job. One that is not on disk has not happened.
+func storeAnswer(err error) string {
+	switch {
 	case errors.Is(err, jobstore.ErrUnknown):
 		return errJob
 	case err != nil:
--- a/internal/jobbook/book.go
+++ b/internal/jobbook/book.go
@@ -237,19 +237,23 @@
 }
 
 // Leave forgets a client and closes the jobs that no one is left to wait for, which it returns:
-// they are given up. Background jobs go on.
-func (b *Book[W]) Leave(w W) (givenUp []*Job[W]) {
+// they are given up. Background jobs go on; those that no one waits for any more it returns apart.
+func (b *Book[W]) Leave(w W) (givenUp, unwatched []*Job[W]) {
 	for j, n := range b.clients[w] {
 		delete(j.waiters, w)
 		j.Waiting -= n
-		if len(j.waiters) == 0 && !j.Background {
+		switch {
+		case len(j.waiters) > 0:
+		case j.Background:
+			unwatched = append(unwatched, j)
+		default:
 			b.Close(j)
 			givenUp = append(givenUp, j)
 		}
 	}
 	delete(b.clients, w)
 	delete(b.submitted, w)
-	return givenUp
+	return givenUp, unwatched
 }
 
 // Counts is how many jobs of a function are open, and how many of these run.
--- a/internal/jobbook/book_test.go
+++ b/internal/jobbook/book_test.go
@@ -87,7 +87,12 @@
 						}
 					}
 				}
-				for _, j := range b.Leave(w) {
+				givenUp, unwatched := b.Leave(w)
+				for _, j := range unwatched {
+					require.True(t, j.Background)
+					require.Zero(t, j.Waiting)
+				}
+				for _, j := range givenUp {
 					require.True(t, gone[j.Handle])
 					delete(gone, j.Handle)
 					require.Empty(t, b.Close(j), "it has ended")
