--- a/cmd/tinroute/recover_test.go
+++ b/cmd/tinroute/recover_test.go
@@ -19,7 +19,7 @@
 	"tinroute.example/tinroute/internal/link"
 )
 
-// store makes a job store with so many safe jobs that wait.
+// fill makes a job store with so many safe jobs that wait.
 func (w *shop) fill(jobs int) {
 	_ = os.Remove(w.store)
 	s, err := jobstore.Open(jobstore.Options{Path: w.store, NoSync: true})
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -92,7 +92,11 @@
 		if errors.As(err, &faulty) {
 			return ExitFaulty
 		}
-		r.log.Error("cannot serve", "err", err)
+		if strings.HasPrefix(c.Command(), "serve") {
+			r.log.Error("cannot serve", "err", err)
+		} else {
+			fmt.Fprintf(e.Err, "tinroute: %v\n", err)
+		}
 		return ExitFailed
 	}
 	return ExitOK
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"regexp"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -50,6 +51,23 @@
 	require.Contains(t, out, "tinroute")
 }
 
+// The same words give the same play; what makes no sense is named, on standard error.
+func TestEmulate(t *testing.T) {
+	args := []string{"emulate", "--length", "10s", "--fail", "slow,2s,5s,0.2,5", "--fail", "outage,1s,3s,0"}
+	code, out, err := call(nil, args...)
+	require.Equal(t, ExitOK, code, err)
+	require.Regexp(t, `requests, .* event log [0-9a-f]{16}`, out)
+	_, again, _ := call(nil, append(args, "--trace")...)
+	log := regexp.MustCompile(`event log [0-9a-f]{16}`)
+	require.Equal(t, log.FindString(out), log.FindString(again))
+	for _, bad := range []string{"slow", "brew,1s,1s,0.5", "slow,soon,1s,0.5", "slow,1s,1s,2", "slow,1s,1s,0.5,-1"} {
+		code, _, err := call(nil, "emulate", "--fail", bad)
+		require.Equal(t, ExitFailed, code, bad)
+		require.Contains(t, err, bad)
+		require.NotContains(t, err, "cannot serve")
+	}
+}
+
 // Without a word it serves, and says in one log line why it cannot.
 func TestServeIsTheDefault(t *testing.T) {
 	code, _, err := call(nil)
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -64,6 +64,11 @@
 	}
 }
 
+// sink swallows an answer.
+type sink struct{}
+
+func (sink) Answer(dispatch.Answer) {}
+
 // Each rule's check catches a defect that is put in.
 func TestCheckerCatches(t *testing.T) {
 	begin := func() (*World, *dispatcher, *request) {
@@ -109,6 +114,12 @@
 			w.rules.ran(w.nodes[0], j)
 			w.rules.outcome(j, balance.StatusFull)
 		},
+		"has no answer": func(w *World, _ *dispatcher, r *request) {
+			w.open++
+			w.submit(r)
+			r.tx.Terminal = sink{}
+			w.Play(time.Minute)
+		},
 		"was pushed over": func(w *World, d *dispatcher, r *request) {
 			n := w.nodes[0]
 			n.started = w.now
--- a/internal/jobstore/read.go
+++ b/internal/jobstore/read.go
@@ -205,42 +205,47 @@
 // after a start and not when the job's turn comes. Jobs whose record cannot be read are set
 // aside. It returns how many records it has read.
 func (s *Store) Verify(ctx context.Context) (read int, err error) {
-	var after []byte
-	for ctx.Err() == nil {
-		type bad struct {
-			id  uint64
-			key []byte
-			why error
+	for _, bucket := range [][]byte{bDue, bDead} {
+		n, err := s.verify(ctx, bucket)
+		if read += n; err != nil {
+			return read, err
 		}
+	}
+	return read, nil
+}
+
+func (s *Store) verify(ctx context.Context, bucket []byte) (read int, err error) {
+	type bad struct {
+		key []byte
+		why error
+	}
+	for after := []byte(nil); ctx.Err() == nil; time.Sleep(verifyPause) {
 		var damaged []bad
 		n := 0
 		err := s.view(func(tx *bolt.Tx) error {
-			for _, b := range [][]byte{bDue} {
-				c := tx.Bucket(b).Cursor()
-				k, _ := c.First()
-				if after != nil {
-					if k, _ = c.Seek(after); string(k) == string(after) {
-						k, _ = c.Next()
-					}
+			c := tx.Bucket(bucket).Cursor()
+			k, _ := c.First()
+			if after != nil {
+				if k, _ = c.Seek(after); string(k) == string(after) {
+					k, _ = c.Next()
 				}
-				for ; k != nil && n < verifyPage; k, _ = c.Next() {
-					n++
-					after = append(after[:0], k...)
-					if _, err := load(tx, k[len(k)-8:]); err != nil {
-						damaged = append(damaged, bad{order.Uint64(k[len(k)-8:]), append([]byte{}, k...), err})
-					}
+			}
+			for ; k != nil && n < verifyPage; k, _ = c.Next() {
+				n++
+				after = append(after[:0], k...)
+				if _, err := load(tx, k[len(k)-8:]); err != nil {
+					damaged = append(damaged, bad{append([]byte{}, k...), err})
 				}
 			}
 			return nil
 		})
 		read += n
 		for _, b := range damaged {
-			s.setAside(b.id, b.key, b.why)
+			s.setAside(order.Uint64(b.key[len(b.key)-8:]), b.key, b.why)
 		}
 		if err != nil || n < verifyPage {
 			return read, err
 		}
-		time.Sleep(verifyPause)
 	}
 	return read, ctx.Err()
 }
--- a/internal/jobstore/repair.go
+++ b/internal/jobstore/repair.go
@@ -173,11 +173,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, w := range batch {
-		if w.err == nil {
+		if w.err == nil && !c.over {
 			c.kept, c.size = append(c.kept, w), c.size+w.size
 		}
 	}
-	c.over = c.over || len(c.kept) > compactOps || c.size > compactBytes
+	if len(c.kept) > compactOps || c.size > compactBytes {
+		c.over, c.kept = true, nil // the copy is given up: nothing more is held for it
+	}
 }
 
 func (c *compaction) discard() {
--- a/internal/jobstore/store_test.go
+++ b/internal/jobstore/store_test.go
@@ -226,6 +226,43 @@
 	}
 }
 
+// Dead letters are read, too: one that is damaged is told of at the start, not when it is asked for.
+func TestDamagedDeadLetter(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "jobs")
+	s := openAt(t, Options{Path: path})
+	require.NoError(t, put(s, "h", "precious"))
+	require.NoError(t, put(s, "i", "other"))
+	require.NoError(t, changed(s, 1, func(st *State) { st.Dead = "unknown" }))
+	require.NoError(t, s.Close())
+	file, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(path, bytes.ReplaceAll(file, []byte("precious"), []byte("precioux")), 0o600))
+	s = openAt(t, Options{Path: path})
+	n, err := s.Verify(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, 2, n)
+	require.NoError(t, put(s, "later", "x"))
+	require.Equal(t, 1, s.Counts().Damaged)
+	require.Zero(t, s.Counts().Dead)
+	require.Len(t, all(t, s), 2)
+}
+
+// What is written while a copy is made is kept for it up to a bound; beyond it the copy is given up, and
+// nothing more is held.
+func TestCompactionIsBounded(t *testing.T) {
+	c := &compaction{}
+	for range 3 * compactOps / maxBatch {
+		batch := make([]*write, maxBatch)
+		for i := range batch {
+			batch[i] = &write{}
+		}
+		c.keep(batch)
+		require.LessOrEqual(t, len(c.kept), compactOps)
+	}
+	require.True(t, c.over)
+	require.Empty(t, c.kept)
+}
+
 // A state that cannot be read leaves the job, but no one knows where it was sent.
 func TestDamagedState(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "jobs")
