--- a/cmd/tinroute/telemetry_test.go
+++ b/cmd/tinroute/telemetry_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"strconv"
@@ -47,13 +45,11 @@
 			s := scripts[(i+round)%len(scripts)]
 			c := collector.New(nil)
 			c.Play(s.script)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			server, err := collector.Serve(c)
 			require.NoError(t, err)
-			server := &http.Server{Handler: c}
-			go func() { _ = server.Serve(l) }()
 			w.env = nil
 			if s.name != "off" {
-				w.env = []string{"OTEL_EXPORTER_OTLP_ENDPOINT=http://" + l.Addr().String(), "OTEL_EXPORTER_OTLP_COMPRESSION=gzip"}
+				w.env = []string{"OTEL_EXPORTER_OTLP_ENDPOINT=" + server.HTTP, "OTEL_EXPORTER_OTLP_COMPRESSION=gzip"}
 			}
 			p := w.start()
 			_, err = w.text("status")
@@ -68,8 +64,7 @@
 				(used / time.Duration(len(took))).Round(time.Microsecond), all)
 			require.NoError(t, p.Process.Signal(os.Interrupt))
 			require.NoError(t, p.Wait())
-			c.Close()
-			_ = server.Close()
+			server.Stop()
 		}
 	}
 }
--- a/internal/daemon/telemetry_test.go
+++ b/internal/daemon/telemetry_test.go
@@ -4,8 +4,6 @@
 	"encoding/hex"
 	"fmt"
 	"maps"
-	"net"
-	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -56,17 +54,10 @@
 			}
 		}
 	})
-	listen := func() net.Listener {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		return l
-	}
-	web, rpc := listen(), listen()
-	s, g := &http.Server{Handler: h}, h.GRPC()
-	go func() { _ = s.Serve(web) }()
-	go func() { _ = g.Serve(rpc) }()
-	t.Cleanup(func() { h.Close(); _ = s.Close(); g.Stop() })
-	h.overHTTP, h.gRPC = "http://"+web.Addr().String(), "http://"+rpc.Addr().String()
+	s, err := collector.Serve(h.Collector)
+	require.NoError(t, err)
+	t.Cleanup(s.Stop)
+	h.overHTTP, h.gRPC = s.HTTP, s.GRPC
 	return h
 }
 
--- a/internal/otlp/otlp_test.go
+++ b/internal/otlp/otlp_test.go
@@ -94,18 +94,11 @@
 			s.names = append(s.names, x.Name)
 		}
 	})
-	listen := func() net.Listener {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		return l
-	}
-	web, rpc := listen(), listen()
-	h, g := &http.Server{Handler: s}, s.GRPC()
-	go func() { _ = h.Serve(web) }()
-	go func() { _ = g.Serve(rpc) }()
-	t.Cleanup(func() { s.Close(); _ = h.Close(); g.Stop() })
-	s.ends = [2]Endpoint{{URL: "http://" + web.Addr().String() + "/v1/traces", Timeout: 300 * time.Millisecond, Gzip: true},
-		{URL: "http://" + rpc.Addr().String(), GRPC: true, Timeout: 300 * time.Millisecond, Gzip: true}}
+	r, err := collector.Serve(s.Collector)
+	require.NoError(t, err)
+	t.Cleanup(r.Stop)
+	s.ends = [2]Endpoint{{URL: r.HTTP + "/v1/traces", Timeout: 300 * time.Millisecond, Gzip: true},
+		{URL: r.GRPC, GRPC: true, Timeout: 300 * time.Millisecond, Gzip: true}}
 	return s
 }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
-	"net/http"
 	"os"
 	"runtime"
 	"strconv"
@@ -48,13 +46,11 @@
 		}
 	})
 	c.Play(s)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := collector.Serve(c.Collector)
 	require.NoError(t, err)
-	server := &http.Server{Handler: c}
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { c.Close(); _ = server.Close() })
+	t.Cleanup(server.Stop)
 	o, err := config.LoadTelemetry("", func(k string) string {
-		return map[string]string{"OTEL_EXPORTER_OTLP_ENDPOINT": "http://" + l.Addr().String()}[k]
+		return map[string]string{"OTEL_EXPORTER_OTLP_ENDPOINT": server.HTTP}[k]
 	})
 	require.NoError(t, err)
 	o.Sampling.Rate = 1e6
