Crash and recovery tests: listen on a port that no outgoing connection is given

While the program restarts the test dials its port again and again; a port of the system's outgoing range can be given to that very dial, which then reaches itself. Ports are taken from below that range now.

--- a/cmd/tinroute/shop_test.go
+++ b/cmd/tinroute/shop_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -60,17 +61,30 @@
 			_, _ = fmt.Fprintf(w, `{"version":1,"full":true,"servers":[%s]}`, strings.Join(servers, ","))
 		}))
 	}()
-	front := listen()
 	dir := t.TempDir()
-	w := &shop{t: t, addr: front.Addr().String(), store: filepath.Join(dir, "jobs"), config: filepath.Join(dir, "config.json"),
+	w := &shop{t: t, addr: freeAddr(t), store: filepath.Join(dir, "jobs"), config: filepath.Join(dir, "config.json"),
 		second: filepath.Join(dir, "gearman.toml"), log: filepath.Join(dir, "log")}
-	require.NoError(t, front.Close())
 	write := func(path, text string) { require.NoError(t, os.WriteFile(path, []byte(text), 0o600)) }
 	write(w.config, strings.ReplaceAll(settings, "TABLE", table.Addr().String()))
 	write(w.second, fmt.Sprintf("listen = %q\ndiscovery = %q\n[store]\npath = %q\n%s", w.addr, table.Addr(), w.store, more))
 	return w
 }
 
+// freeAddr is an address that nothing listens at, and that the system gives to no outgoing connection:
+// while the program is down one that is dialled again and again could otherwise be given the very port
+// that it dials, reach itself, and keep the program from listening.
+func freeAddr(t *testing.T) string {
+	for range 100 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 20_000+rand.IntN(10_000))
+		if l, err := net.Listen("tcp", addr); err == nil {
+			require.NoError(t, l.Close())
+			return addr
+		}
+	}
+	require.FailNow(t, "no port is free")
+	return ""
+}
+
 // start starts the program.
 func (w *shop) start() *exec.Cmd {
 	log, err := os.OpenFile(w.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
