Correct why the crash tests' port is taken from below the system's range

The connection was cut after about 2 s, which is the bound of our own daemons for one that proves nothing: packages run side by side, and the port, freed while the program restarts, can be given to another's listener on port 0 (shown by a probe).

--- a/cmd/tinroute/shop_test.go
+++ b/cmd/tinroute/shop_test.go
@@ -70,9 +70,9 @@
 	return w
 }
 
-// freeAddr is an address that nothing listens at, and that the system gives to no outgoing connection:
-// while the program is down one that is dialled again and again could otherwise be given the very port
-// that it dials, reach itself, and keep the program from listening.
+// freeAddr is an address that nothing listens at, with a port that the system gives to nobody who asks for
+// any: while the program is down, another package's test, which runs beside this one, could otherwise be
+// given it, and answer in the program's place.
 func freeAddr(t *testing.T) string {
 	for range 100 {
 		addr := fmt.Sprintf("127.0.0.1:%d", 20_000+rand.IntN(10_000))
