Upgrades: listen with SO_REUSEPORT so that a second process can bind beside the first

Design: both processes listen at the clients' address with SO_REUSEPORT and the kernel spreads new connections over them. Not taken: handing the listening descriptor from the old process to the new (Envoy's hot restart), which needs a Unix socket, and the platform allows none. Change: link.Listen sets the option; the daemon listens by it unless told otherwise. Measured: TestListenShared fails with net.Listen and passes with link.Listen.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,7 +56,7 @@
 	Wall      func() time.Time                                                  // the system's clock, time.Now where nil
 	Telemetry *config.Telemetry                                                 // nil where it is off
 	Dial      func(ctx context.Context, network, addr string) (net.Conn, error) // a net.Dialer's where nil
-	Listen    func(network, addr string) (net.Listener, error)                  // net.Listen where nil
+	Listen    func(network, addr string) (net.Listener, error)                  // link.Listen where nil
 }
 
 // front is one protocol's side, with a core of its own for its own fleet.
@@ -71,7 +71,7 @@
 		d.Dial = new(net.Dialer).DialContext
 	}
 	if d.Listen == nil {
-		d.Listen = net.Listen
+		d.Listen = link.Listen
 	}
 	runtime.GOMAXPROCS(max(1, int(d.Config.Limits.Cores)))
 	debug.SetMemoryLimit(int64(memoryShare * float64(d.Config.Limits.MemoryMB<<20)))
--- /dev/null
+++ b/internal/link/listen_test.go
@@ -0,0 +1,40 @@
+package link
+
+import (
+	"net"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An upgrade starts a second process at the same address while the first serves: both must
+// be able to listen, and the second must go on taking connections once the first has closed.
+func TestListenShared(t *testing.T) {
+	if runtime.GOOS != "linux" {
+		t.Skip("SO_REUSEPORT of Linux's kind")
+	}
+	old, err := Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	_, err = net.Listen("tcp", old.Addr().String())
+	require.Error(t, err, "a listener without the option must not share the address")
+	fresh, err := Listen("tcp", old.Addr().String())
+	require.NoError(t, err, "the second process must be able to listen beside the first")
+	defer fresh.Close()
+	require.NoError(t, old.Close())
+
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := fresh.Accept()
+		if err == nil {
+			accepted <- c
+		}
+		close(accepted)
+	}()
+	c, err := net.Dial("tcp", fresh.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	got := <-accepted
+	require.NotNil(t, got, "the second listener takes the connection once the first is closed")
+	got.Close()
+}
--- /dev/null
+++ b/internal/link/reuse_linux.go
@@ -0,0 +1,7 @@
+package link
+
+import "golang.org/x/sys/unix"
+
+func reusePort(fd uintptr) error {
+	return unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+}
