Operators' door: /_ready, /_vars, hand bans that pass to a successor through $TMPDIR

Design: internal/ops is its own listener, one call to a connection, framed by the platform's HTTP framer; a connection has 2 s for its call and at 16 the oldest without a whole call gives way, so idle callers keep no operator out. Figures are counted in dispatch where an answer is given (every final answer goes through one function) and where a driver marks an attempt written; the door reads atomics and asks the core for hosts with a 200 ms bound. A ban is kept in internal/hand (no I/O, handed clock); each core reads it at the start of a turn and tells the balancer the worker drains, so the ban binds before the turn's decision; Send refuses it too. internal/handover writes the bans to $TMPDIR atomically and reads the other process's.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -9,6 +9,7 @@
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/internal/complain"
+	"tinroute.example/tinroute/internal/hand"
 )
 
 const (
@@ -43,6 +44,10 @@
 	events chan func()
 	closed chan struct{}
 	open   atomic.Int64 // transactions without a final answer
+	counts counts
+	hand   *hand.Book      // workers out by hand; nil for none
+	handed <-chan struct{} // a signal after each change of hand
+	heard  atomic.Uint64   // the generation of hand that the balancer has been told
 
 	// The rest is the goroutine's own.
 	balancer *balance.Balancer
@@ -54,7 +59,9 @@
 	deferred []func()
 	timers   timers
 	active   int
-	ends     time.Duration // when the process will end, 0 while that is not known
+	ends     time.Duration                      // when the process will end, 0 while that is not known
+	out      map[string]bool                    // names out by hand, as the balancer was told
+	back     map[balance.WorkerID]time.Duration // taken back by hand then: cold from then on
 }
 
 // Options are the parts that a Core works with. All but Settings may be left out.
@@ -66,13 +73,21 @@
 	// Clock makes a core that is not Run: its methods do their work before they return, on the one
 	// goroutine that calls them, and Advance does what is due. The clock must never go back.
 	Clock func() time.Duration
+	// Hand holds the workers out by hand, which may be shared by several cores. The core sends
+	// nothing new to them from the turn after the change, and tells it by Heard.
+	Hand *hand.Book
 }
 
 // New returns a core that does nothing until Connect and Run.
 func New(o Options) (*Core, error) {
 	c := &Core{virtual: o.Clock, settings: o.Settings, log: o.Log, hook: o.Hook, watching: o.Observers, clock: NewClock(),
 		events: make(chan func(), mailbox), closed: make(chan struct{}),
-		jobs: map[balance.JobID]*Transaction{}, ids: map[string]*Transaction{}, members: map[balance.WorkerID]Region{}}
+		jobs: map[balance.JobID]*Transaction{}, ids: map[string]*Transaction{}, members: map[balance.WorkerID]Region{},
+		hand: o.Hand, out: map[string]bool{}, back: map[balance.WorkerID]time.Duration{}}
+	c.counts.classes = make([]classCounts, len(o.Settings.Classes))
+	if c.hand != nil {
+		c.handed = c.hand.Subscribe()
+	}
 	if c.log == nil {
 		c.log = slog.New(slog.DiscardHandler)
 	}
@@ -109,6 +124,8 @@
 			c.turn(f)
 		case <-timer.C:
 			c.turn(func() {})
+		case <-c.handed: // beside the mailbox: a full one must not hold a ban up
+			c.turn(func() {})
 		}
 		if len(c.timers) > 0 {
 			timer.Reset(max(0, c.timers[0].at-c.clock.Now()))
@@ -134,6 +151,9 @@
 		c.now, c.turning = c.virtual(), true
 		defer func() { c.turning = false }()
 	}
+	if c.hand != nil && c.hand.Gen() != c.heard.Load() {
+		c.rehand()
+	}
 	f()
 	for {
 		for len(c.deferred) > 0 {
@@ -189,14 +209,14 @@
 		a := c.hook.Transaction(tx)
 		tx.Hooked = time.Since(tx.Asked)
 		if a != nil {
-			tx.Terminal.Answer(*a)
+			c.tell(tx, *a)
 			return
 		}
 	}
 	if int(c.open.Add(1)) > c.settings.MaxOpen && c.settings.MaxOpen > 0 {
 		c.open.Add(-1)
 		c.complain.Complain("refused", nil, "too many open", "id", tx.ID, "open", c.settings.MaxOpen)
-		tx.Terminal.Answer(Answer{Verdict: Refused, RetryAfter: min(busyBack, c.settings.MaxRetryAfter),
+		c.tell(tx, Answer{Verdict: Refused, RetryAfter: min(busyBack, c.settings.MaxRetryAfter),
 			Reason: "too many open requests"})
 		return
 	}
@@ -214,7 +234,7 @@
 		c.complain.Complain("id in use", nil, "id", "id", tx.ID)
 		tx.over = true
 		c.open.Add(-1)
-		tx.Terminal.Answer(Answer{Verdict: Failed, Unfit: true, Reason: "a request of this id is open"})
+		c.tell(tx, Answer{Verdict: Failed, Unfit: true, Reason: "a request of this id is open"})
 		return
 	}
 	limit := tx.Patience + overdue
@@ -223,7 +243,7 @@
 		if left <= 0 {
 			tx.over = true
 			c.open.Add(-1)
-			tx.Terminal.Answer(Answer{Verdict: Refused, RetryAfter: min(elsewhere, c.settings.MaxRetryAfter),
+			c.tell(tx, Answer{Verdict: Refused, RetryAfter: min(elsewhere, c.settings.MaxRetryAfter),
 				Reason: "this dispatcher ends before the job could"})
 			return
 		}
@@ -291,30 +311,60 @@
 
 // View asks for the policy's view. It returns false where the core has ended, or is busy for so
 // long.
-func (c *Core) View(within time.Duration) (v View, ok bool) {
-	got := make(chan View, 1)
-	limit := time.NewTimer(within)
-	defer limit.Stop()
-	select {
-	case c.events <- func() {
-		v := View{c.balancer.View(c.now), map[balance.WorkerID]string{}}
+func (c *Core) View(within time.Duration) (View, bool) {
+	var v View
+	if !c.ask(within, func() {
+		v = View{c.balancer.View(c.now), map[balance.WorkerID]string{}}
 		for _, w := range v.Workers[:min(len(v.Workers), ViewNames)] {
 			v.Names[w.ID] = c.members[w.ID].Name
 		}
-		got <- v
-	}:
+	}) {
+		return View{}, false
+	}
+	return v, true
+}
+
+// Hosts asks how many regions the service table lists, and how many of them the core avoids now.
+// It returns false where the core has ended, or is busy for so long.
+func (c *Core) Hosts(within time.Duration) (Hosts, bool) {
+	var h Hosts
+	if !c.ask(within, func() {
+		h.Listed = len(c.members)
+		for _, w := range c.balancer.View(c.now).Workers {
+			if _, listed := c.members[w.ID]; listed && (!w.Serving || w.Held > 0) {
+				h.Down++
+			}
+		}
+	}) {
+		return Hosts{}, false
+	}
+	return h, true
+}
+
+// ask does f on the core's goroutine and waits for it, for so long at most. What f sets may be
+// read only where ask returns true: after a time-out f may still run.
+func (c *Core) ask(within time.Duration, f func()) bool {
+	if c.virtual != nil {
+		c.turn(f)
+		return true
+	}
+	done := make(chan struct{})
+	limit := time.NewTimer(within)
+	defer limit.Stop()
+	select {
+	case c.events <- func() { f(); close(done) }:
 	case <-c.closed:
-		return v, false
+		return false
 	case <-limit.C:
-		return v, false
+		return false
 	}
 	select {
-	case v = <-got:
-		return v, true
+	case <-done:
+		return true
 	case <-c.closed:
-		return v, false
+		return false
 	case <-limit.C:
-		return v, false
+		return false
 	}
 }
 
@@ -325,10 +375,17 @@
 	}
 	c.close(tx)
 	c.observe(func(o Observer) { o.Answered(tx, a) })
-	tx.Terminal.Answer(a)
+	c.tell(tx, a)
 	c.forget(tx)
 }
 
+// tell gives a final answer to the terminal and counts it: every final answer goes this way,
+// also those that are given before the core has the transaction.
+func (c *Core) tell(tx *Transaction, a Answer) {
+	c.counts.answered(tx.Class, a.Verdict)
+	tx.Terminal.Answer(a)
+}
+
 func (c *Core) close(tx *Transaction) {
 	tx.over = true
 	c.stop(tx.guard)
@@ -453,7 +510,7 @@
 		}
 		members := make([]balance.Member, len(list))
 		for i, r := range list {
-			members[i] = r.Member
+			members[i] = c.handled(r)
 			if was, ok := before[r.ID]; ok && was.Condition == balance.Serving && r.Condition != balance.Serving {
 				for _, p := range c.phases {
 					p.Drained(r)
@@ -466,14 +523,65 @@
 			}
 		}
 		all := make([]Region, 0, len(c.members))
+		names := make([]string, 0, len(c.members))
 		for _, r := range c.members {
 			all = append(all, r)
+			names = append(names, r.Name)
+		}
+		if c.hand != nil {
+			c.hand.Listed(time.Now(), names...)
 		}
 		c.regions.Listed(all)
 		c.balancer.Members(c.now, how, members)
 	})
 }
 
+// handled is what the balancer is told of a region: one out by hand is draining, whatever the
+// table says, and one taken back is as cold as a new start, since it was restarted meanwhile.
+func (c *Core) handled(r Region) balance.Member {
+	m := r.Member
+	if c.out[r.Name] && m.Condition == balance.Serving {
+		m.Condition = balance.Draining
+	}
+	if at, ok := c.back[r.ID]; ok {
+		if m.Started >= at { // a start after the call back is the table's own word
+			delete(c.back, r.ID)
+		} else {
+			m.Started = at
+		}
+	}
+	return m
+}
+
+// rehand tells the balancer of changes of the workers out by hand. It comes first in a turn,
+// before the turn's event: what is decided in it obeys the ban.
+func (c *Core) rehand() {
+	state := c.hand.State()
+	out := make(map[string]bool, len(state.Out))
+	for _, name := range state.Out {
+		out[name] = true
+	}
+	var changed []balance.Member
+	for id, r := range c.members {
+		if out[r.Name] == c.out[r.Name] {
+			continue
+		}
+		if !out[r.Name] {
+			c.back[id] = max(c.now, time.Nanosecond) // 0 would mean long ago
+		}
+		c.out[r.Name] = out[r.Name]
+		changed = append(changed, c.handled(r))
+	}
+	c.out = out // also the names that the table does not list now: the ban holds when they return
+	c.heard.Store(state.Gen)
+	if len(changed) > 0 {
+		c.balancer.Members(c.now, balance.ListChange, changed)
+	}
+}
+
+// Heard is the generation of the workers out by hand that the core obeys.
+func (c *Core) Heard() uint64 { return c.heard.Load() }
+
 // ListFailed takes word that an inquiry of the service table failed, or that the
 // subscription broke.
 func (c *Core) ListFailed() {
@@ -489,7 +597,7 @@
 	if tx == nil {
 		return
 	}
-	t := &Task{Transaction: tx, No: len(tx.tasks), sent: h.now, Wait: tx.end - h.now}
+	t := &Task{Transaction: tx, No: len(tx.tasks), sent: h.now, Wait: tx.end - h.now, counted: h.counts.of(tx.Class)}
 	if timeout > 0 {
 		t.Wait = min(t.Wait, timeout)
 	}
@@ -501,7 +609,9 @@
 	t.Region.ID = to
 	// A region receives one attempt of a request at a time: while an earlier one there
 	// is not settled, none is sent.
-	if !known || tx.over || t.Wait <= 0 || len(tx.tasks) > h.settings.MaxAttempts || tx.unsettled[to] > 0 {
+	// One out by hand gets nothing new, whatever the balancer was told: this guards the ban.
+	if !known || tx.over || t.Wait <= 0 || len(tx.tasks) > h.settings.MaxAttempts || tx.unsettled[to] > 0 ||
+		h.out[region.Name] {
 		t.settled, t.unsent = true, true
 		h.deferred = append(h.deferred, func() { h.ended(t, balance.StatusMoot, nil) })
 		return
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -107,6 +107,7 @@
 	unsent    bool // it never left: the driver was not told of it
 	started   bool
 	limit     *timer
+	counted   *classCounts // where its being written whole is counted
 }
 
 // Delivery is the instant at which an answer's last byte was written, or could not be. Any
@@ -147,7 +148,11 @@
 var origin = time.Now()
 
 // Mark sets a mark to now, unless it is set. Any goroutine may call it.
-func (t *Task) Mark(m Mark) { t.marks[m].CompareAndSwap(0, int64(time.Since(origin))) }
+func (t *Task) Mark(m Mark) {
+	if t.marks[m].CompareAndSwap(0, int64(time.Since(origin))) && m == Written && t.counted != nil {
+		t.counted.written.Add(1)
+	}
+}
 
 // At is when a mark was set, the zero time where it was not.
 func (t *Task) At(m Mark) time.Time {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,6 +38,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Ops       string // the operators' door, none where empty
 	Limits    Limits
 	Hooks     []string // script files, in the order they are asked
 	Known     []byte   // the service table as last held, in discovery's form
@@ -46,7 +47,7 @@
 }
 
 // Load reads the file that $LB_CONFIG names. The other variables win over the file's own
-// name and addresses, which repeat them.
+// name and addresses, which repeat them: $LB_OPS over ops, the operators' door.
 func Load(getenv func(string) string) (*Config, error) { return load(getenv, getenv("LB_DISCOVERY")) }
 
 // Reload reads that file again, in a process that has been told to. Its environment is as
@@ -68,6 +69,7 @@
 	}
 	c.Name = cmp.Or(getenv("LB_NAME"), c.Name)
 	c.Listen = cmp.Or(getenv("LB_LISTEN"), c.Listen)
+	c.Ops = cmp.Or(getenv("LB_OPS"), c.Ops)
 	c.Discovery = cmp.Or(discovery, c.Discovery)
 	switch {
 	case c.Listen == "":
@@ -88,7 +90,7 @@
 		return nil, errors.New("configuration: not an object")
 	}
 	f := &facts{}
-	c := &Config{Name: f.text(v, "name"), Listen: f.text(v, "listen"), Discovery: f.text(v, "discovery"),
+	c := &Config{Name: f.text(v, "name"), Listen: f.text(v, "listen"), Discovery: f.text(v, "discovery"), Ops: f.text(v, "ops"),
 		Limits: Limits{Cores: f.number(v, 1, "limits", "cores"),
 			MemoryMB: int(f.number(v, defaultMemoryMB, "limits", "memory_mb")),
 			Sockets:  int(f.number(v, defaultSockets, "limits", "sockets"))}}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,8 @@
 	"tinroute.example/tinroute/internal/background"
 	"tinroute.example/tinroute/internal/config"
 	"tinroute.example/tinroute/internal/gearman"
+	"tinroute.example/tinroute/internal/hand"
+	"tinroute.example/tinroute/internal/handover"
 	"tinroute.example/tinroute/internal/hook"
 	"tinroute.example/tinroute/internal/jobstore"
 	"tinroute.example/tinroute/internal/link"
@@ -57,6 +59,10 @@
 	Telemetry *config.Telemetry                                                 // nil where it is off
 	Dial      func(ctx context.Context, network, addr string) (net.Conn, error) // a net.Dialer's where nil
 	Listen    func(network, addr string) (net.Listener, error)                  // link.Listen where nil
+	Shared    string                                                            // the folder shared with a successor, os.TempDir() where empty
+
+	hand  *hand.Book // workers out by hand, where there is an operators' door
+	cores []*dispatch.Core
 }
 
 // front is one protocol's side, with a core of its own for its own fleet.
@@ -118,6 +124,12 @@
 			d.Log = plain
 		}()
 	}
+	if d.Config.Ops != "" { // what a predecessor left binds before anything is sent
+		d.hand = hand.New()
+		keeper := handover.New(handover.Options{Dir: d.Shared, Book: d.hand, Log: d.Log})
+		keeper.Start()
+		defer keeper.Close()
+	}
 	core, err := d.core(inner, "http", d.Config.Hooks, spans, d.Log)
 	if err != nil {
 		return err
@@ -127,7 +139,8 @@
 	if err != nil {
 		return err
 	}
-	if err := open(d.Config.Listen, platform.NewServer(core, regions, d.Log, d.Config.Names, terminals)); err != nil {
+	clients := platform.NewServer(core, regions, d.Log, d.Config.Names, terminals)
+	if err := open(d.Config.Listen, clients); err != nil {
 		return err
 	}
 	d.Log.Info("serving", "name", d.Config.Name, "listen", d.Config.Listen, "discovery", d.Config.Discovery,
@@ -160,6 +173,13 @@
 			"terminals", terminals, "connections", sockets-terminals)
 	}
 
+	if d.Config.Ops != "" { // with every core made: it counts them all
+		door, err := d.door(clients.Ready)
+		if err != nil {
+			return err
+		}
+		defer door.Close()
+	}
 	go d.reload(inner, table, second)
 	select {
 	case err := <-failed:
@@ -193,7 +213,7 @@
 // core makes a front's core, with the scripts and the telemetry that watch it.
 func (d *Daemon) core(ctx context.Context, front string, files []string, spans *telemetry.Telemetry,
 	log *slog.Logger, watching ...dispatch.Observer) (*dispatch.Core, error) {
-	o := dispatch.Options{Settings: *d.Config.Settings, Log: log, Observers: watching}
+	o := dispatch.Options{Settings: *d.Config.Settings, Log: log, Observers: watching, Hand: d.hand}
 	hooks, err := hook.Load(files, d.Config.Settings, d.Config.Names, log)
 	if err != nil {
 		return nil, err
@@ -209,6 +229,9 @@
 	if err == nil && spans != nil {
 		err = spans.Watch(front, core)
 	}
+	if err == nil {
+		d.cores = append(d.cores, core)
+	}
 	return core, err
 }
 
--- /dev/null
+++ b/internal/daemon/door.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"tinroute.example/tinroute/internal/ops"
+)
+
+// hostsWithin is how long the door waits for a core to count its hosts; a busier core's last
+// count is told.
+const hostsWithin = 200 * time.Millisecond
+
+// door opens the operators' door at its address. It answers from the cores, the book of hand
+// bans and ready, and never waits on a core for long.
+func (d *Daemon) door(ready func() bool) (*ops.Door, error) {
+	l, err := d.Listen("tcp", d.Config.Ops)
+	if err != nil {
+		return nil, fmt.Errorf("ops: listen: %w", err)
+	}
+	cores := d.cores
+	var mu sync.Mutex
+	last := make([]struct{ listed, down int }, len(cores))
+	figures := func() ops.Figures {
+		f := ops.Figures{}
+		for _, c := range d.Config.Settings.Classes {
+			f.Classes = append(f.Classes, ops.ClassFigures{Name: c.Name})
+		}
+		for _, core := range cores {
+			for i, k := range core.Counts() {
+				f.Classes[i].Success += k.Served
+				f.Classes[i].Busy += k.Refused
+				f.Classes[i].Failure += k.Failed
+				f.Classes[i].BackendCalls += k.Written
+			}
+			f.Inflight += core.Open()
+		}
+		mu.Lock() // one scrape at a time asks the cores; the others wait for it
+		defer mu.Unlock()
+		for i, core := range cores {
+			if h, ok := core.Hosts(hostsWithin); ok {
+				last[i].listed, last[i].down = h.Listed, h.Down
+			}
+			f.HostsListed += last[i].listed
+			f.HostsDown += last[i].down
+		}
+		return f
+	}
+	heard := func() uint64 {
+		least := uint64(math.MaxUint64)
+		for _, c := range cores {
+			least = min(least, c.Heard())
+		}
+		return least
+	}
+	door := ops.New(ops.Options{Log: d.Log.With("part", "ops"), Ready: ready, Figures: figures, Hand: d.hand, Heard: heard})
+	go func() { _ = door.Serve(l) }()
+	d.Log.Info("operators' door", "listen", d.Config.Ops)
+	return door, nil
+}
--- /dev/null
+++ b/internal/ops/door.go
@@ -0,0 +1,309 @@
+// Package ops is the operators' door: one further address, HTTP/1.1 with one call to a
+// connection, at which operators ask whether the process takes clients, read its figures, and
+// take workers out by hand and back. It never waits on a core for long: an answer is owed
+// within a second under any load, also beside callers that open connections and say nothing.
+package ops
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"tinroute.example/tinroute/internal/complain"
+	"tinroute.example/tinroute/internal/hand"
+	"tinroute.example/tinroute/internal/link"
+	"tinroute.example/tinroute/internal/platform"
+)
+
+const (
+	// callWithin bounds how long a caller has for its whole call, from its connection's
+	// acceptance: one that says nothing, or half of something, holds its place no longer.
+	callWithin = 2 * time.Second
+	// answerWithin is how long after the whole call an answer is written at the latest; a ban
+	// that the cores have not confirmed by then is answered no, and binds all the same.
+	answerWithin = 700 * time.Millisecond
+	writeWithin  = time.Second
+	// Most is the number of connections held at once by default. At the bound the oldest one
+	// without a whole call gives way to the new one: callers that hold connections idle cannot
+	// keep an operator out.
+	Most = 16
+	// maxID bounds the body of a call about a worker.
+	maxID = hand.MaxName
+	// lookEvery is how often a call about a worker looks whether the cores obey it.
+	lookEvery = 2 * time.Millisecond
+	// lookAgain is how long the accept loop rests after an error, out of descriptors most
+	// likely.
+	lookAgain = 50 * time.Millisecond
+)
+
+// The calls.
+const (
+	PathReady  = "/_ready"
+	PathVars   = "/_vars"
+	PathDetach = "/_workers/detach"
+	PathAttach = "/_workers/attach"
+)
+
+// Options are what the door answers from. Ready and Figures are asked on the door's own
+// goroutines and must not block for long; Heard is the least generation of the hand bans that
+// every core obeys.
+type Options struct {
+	Log     *slog.Logger
+	Most    int // connections at once; Most where 0
+	Ready   func() bool
+	Figures func() Figures
+	Hand    *hand.Book
+	Heard   func() uint64
+	Now     func() time.Time // time.Now where nil
+}
+
+// Door serves the operators' calls. Its zero value is not ready: use New.
+type Door struct {
+	o        Options
+	complain *complain.Book
+	mu       sync.Mutex
+	conns    map[*call]bool
+	closed   bool
+	listener net.Listener
+	wg       sync.WaitGroup
+}
+
+// call is one connection, with its one call.
+type call struct {
+	net.Conn
+	since time.Time
+	whole bool // its call has come whole: it is being answered and does not give way
+}
+
+// New returns a door that serves once Serve is called.
+func New(o Options) *Door {
+	if o.Most <= 0 {
+		o.Most = Most
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Door{o: o, complain: complain.New(o.Log, nil), conns: map[*call]bool{}}
+}
+
+// Serve accepts calls until the listener is closed, or Close is called.
+func (d *Door) Serve(l net.Listener) error {
+	d.mu.Lock()
+	if d.closed {
+		d.mu.Unlock()
+		return l.Close()
+	}
+	d.listener = l
+	d.mu.Unlock()
+	for {
+		c, err := l.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case err != nil:
+			d.complain.Complain("operators' door cannot accept", nil, "accept", "err", err)
+			time.Sleep(lookAgain)
+			continue
+		}
+		cl := &call{Conn: c, since: time.Now()}
+		if !d.admit(cl) {
+			_ = c.Close()
+			return nil
+		}
+		d.wg.Go(func() {
+			defer d.leave(cl)
+			d.serve(cl)
+		})
+	}
+}
+
+// admit takes a connection in, making room for it at the bound.
+func (d *Door) admit(c *call) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return false
+	}
+	if len(d.conns) >= d.o.Most {
+		var oldest *call
+		for o := range d.conns {
+			if !o.whole && (oldest == nil || o.since.Before(oldest.since)) {
+				oldest = o
+			}
+		}
+		if oldest != nil { // its reader ends, and so does it
+			_ = oldest.Close()
+			delete(d.conns, oldest)
+		}
+	}
+	d.conns[c] = true
+	return true
+}
+
+func (d *Door) leave(c *call) {
+	_ = c.Close()
+	d.mu.Lock()
+	delete(d.conns, c)
+	d.mu.Unlock()
+}
+
+// Close stops accepting, closes what is open, and returns when every call has ended.
+func (d *Door) Close() error {
+	d.mu.Lock()
+	d.closed = true
+	l := d.listener
+	for c := range d.conns {
+		_ = c.Close()
+	}
+	d.mu.Unlock()
+	var err error
+	if l != nil {
+		err = l.Close()
+	}
+	d.wg.Wait()
+	return err
+}
+
+// serve reads one call, answers it and ends.
+func (d *Door) serve(c *call) {
+	_ = c.SetReadDeadline(c.since.Add(callWithin))
+	var m *platform.Message
+	err := link.Read(c.Conn, platform.NewRequestFramer(), func(got *platform.Message) bool {
+		m = got
+		return false // one call to a connection
+	})
+	if m == nil {
+		var timeout net.Error
+		switch {
+		case errors.As(err, &timeout) && timeout.Timeout():
+			d.complain.Complain("operators' call not whole in time", c.RemoteAddr(), "slow")
+			d.write(c, http.StatusRequestTimeout, "the call did not come whole within "+callWithin.String())
+		case isMalformed(err):
+			d.complain.Complain("malformed operators' call", c.RemoteAddr(), "malformed", "err", err)
+			d.write(c, http.StatusBadRequest, "malformed: "+err.Error())
+		}
+		return // else the caller has gone, or was pushed out for a newer one
+	}
+	d.mu.Lock()
+	c.whole = true
+	d.mu.Unlock()
+	status, text := d.answer(m, time.Now())
+	if status >= 400 {
+		d.complain.Complain("operators' call refused", c.RemoteAddr(), strconv.Itoa(status), "path", m.Request.URL.Path)
+	}
+	d.write(c, status, text)
+}
+
+func isMalformed(err error) bool {
+	bad := (*link.Malformed)(nil)
+	return errors.As(err, &bad)
+}
+
+// answer decides the answer to a whole call that came at the instant given.
+func (d *Door) answer(m *platform.Message, came time.Time) (int, string) {
+	r := m.Request
+	want := map[string]string{PathReady: http.MethodGet, PathVars: http.MethodGet,
+		PathDetach: http.MethodPost, PathAttach: http.MethodPost}[r.URL.Path]
+	switch {
+	case want == "":
+		return http.StatusNotFound, "no such call: " + strconv.Quote(clip(r.URL.Path))
+	case r.Method != want:
+		return http.StatusMethodNotAllowed, "use " + want + " for " + r.URL.Path
+	case r.URL.Path == PathReady:
+		if d.o.Ready != nil && d.o.Ready() {
+			return http.StatusOK, "ready"
+		}
+		return http.StatusServiceUnavailable, "not ready"
+	case r.URL.Path == PathVars:
+		f := Figures{}
+		if d.o.Figures != nil {
+			f = d.o.Figures()
+		}
+		return http.StatusOK, string(f.AppendStatsd(nil))
+	}
+	id := string(bytes.TrimSpace(m.Body))
+	switch {
+	case d.o.Hand == nil:
+		return http.StatusNotImplemented, "no workers are taken out by hand here"
+	case id == "":
+		return http.StatusBadRequest, "the body names no worker"
+	case len(id) > maxID || !printable(id):
+		return http.StatusBadRequest, "the body is no worker's id"
+	}
+	var gen uint64
+	var err error
+	if r.URL.Path == PathDetach {
+		gen, err = d.o.Hand.Detach(d.o.Now(), id)
+	} else {
+		gen, err = d.o.Hand.Attach(id)
+	}
+	switch {
+	case errors.Is(err, hand.ErrUnknown):
+		return http.StatusNotFound, "no worker " + strconv.Quote(id) + " was ever listed"
+	case errors.Is(err, hand.ErrFull):
+		return http.StatusConflict, err.Error()
+	case err != nil:
+		return http.StatusInternalServerError, err.Error()
+	}
+	if !d.obeyed(gen, came.Add(answerWithin)) {
+		return http.StatusServiceUnavailable, "taken, but not yet obeyed; it binds within a second"
+	}
+	if r.URL.Path == PathDetach {
+		return http.StatusOK, "detached " + id
+	}
+	return http.StatusOK, "attached " + id
+}
+
+// obeyed waits until every core obeys the generation of the bans, or the instant given.
+func (d *Door) obeyed(gen uint64, by time.Time) bool {
+	if d.o.Heard == nil {
+		return true
+	}
+	for d.o.Heard() < gen {
+		if time.Now().After(by) {
+			return false
+		}
+		time.Sleep(lookEvery)
+	}
+	return true
+}
+
+func printable(s string) bool {
+	for i := range len(s) {
+		if s[i] < 0x21 || s[i] > 0x7e {
+			return false
+		}
+	}
+	return true
+}
+
+func clip(s string) string {
+	if len(s) > 64 {
+		return s[:64] + "..."
+	}
+	return s
+}
+
+func (d *Door) write(c *call, status int, text string) {
+	body := text
+	if !strings.HasSuffix(body, "\n") {
+		body += "\n"
+	}
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
+		status, http.StatusText(status), len(body))
+	_ = c.SetWriteDeadline(time.Now().Add(writeWithin))
+	_, _ = c.Write(append([]byte(head), body...))
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -42,6 +42,9 @@
 	return s.server.Serve(l)
 }
 
+// Ready tells whether the server takes clients: from Serve until Drain.
+func (s *Server) Ready() bool { return s.ready.Load() }
+
 // Drain ends service: it goes on taking what comes, for as long as g says while there are
 // clients, then closes connections after their answers, and returns when all that was taken
 // is answered.
