Upgrades: relay a region's call-back to the process that sent its request

A probe (a log line where Event finds no task) counted 169 and 179 call-backs at a process that did not know the request, 61 and 54 of them 'done': with SO_REUSEPORT a call-back reaches either process, and Event (internal/platform/regions.go) answered 204 and dropped it, so its owner waited until its time-out. Not the list: the new process started with the file's known list of 9. Design: each process marks itself alive in $TMPDIR and keeps an inbox folder there; a call-back of no request of ours goes as its body into every live peer's inbox (written and renamed), and a process with a live peer looks at its inbox every 10 ms.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -140,6 +140,14 @@
 		return err
 	}
 	clients := platform.NewServer(core, regions, d.Log, d.Config.Names, terminals)
+	if d.Config.Ops != "" { // upgrades: a region's call-back may reach the other process
+		relay := handover.NewRelay(d.Shared, d.Log, clients.Relayed)
+		if err := relay.Start(); err != nil {
+			return err
+		}
+		defer relay.Close()
+		clients.Relay(relay.Send)
+	}
 	if err := open(d.Config.Listen, clients); err != nil {
 		return err
 	}
--- a/internal/platform/regions.go
+++ b/internal/platform/regions.go
@@ -241,17 +241,19 @@
 	return nil
 }
 
-// Event takes a region's call-back. One that matches no live task is late or repeated, and
-// is dropped. It may come before the 202.
-func (r *Regions) Event(id, from, state string, share float64, result []byte) error {
+// Event takes a region's call-back, and tells whether it matched a live task. One that does not is
+// late or repeated, or for another process at the same address; here it is dropped. It may come
+// before the 202.
+func (r *Regions) Event(id, from, state string, share float64, result []byte) (known bool, err error) {
 	r.mu.Lock()
 	c := r.calls[callKey{id, from}]
 	r.mu.Unlock()
 	status, ends := ends[state]
 	switch {
 	case !ends && state != "started" && state != "running":
-		return errors.New("state: unknown")
+		return false, errors.New("state: unknown")
 	case c == nil:
+		return false, nil
 	case ends:
 		r.end(c, status, result)
 		// The 202 is still to come if this was faster. A region that never sends it must not
@@ -262,7 +264,7 @@
 	default:
 		r.core.Progress(c.task, share)
 	}
-	return nil
+	return true, nil
 }
 
 var ends = map[string]balance.Status{"done": balance.StatusOK, "failed": balance.StatusError,
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -27,6 +27,7 @@
 	ready    atomic.Bool
 	server   link.Server
 	complain *complain.Book
+	relay    func(body []byte) bool // hands a call-back of no request of ours to another process
 }
 
 // NewServer returns a server that holds at most so many connections.
@@ -42,6 +43,18 @@
 	return s.server.Serve(l)
 }
 
+// Relay gives the server a way to hand a call-back that names no request of this process to
+// another process at the same address, during an upgrade; send tells whether it went anywhere.
+// It is to be set before Serve.
+func (s *Server) Relay(send func(body []byte) bool) { s.relay = send }
+
+// Relayed takes a call-back that another process handed over: it may be for a request of ours.
+func (s *Server) Relayed(body []byte) {
+	if _, err := s.event(body); err != nil {
+		s.complain.Complain("malformed call-back", nil, "relayed", "err", err)
+	}
+}
+
 // Ready tells whether the server takes clients: from Serve until Drain.
 func (s *Server) Ready() bool { return s.ready.Load() }
 
@@ -132,9 +145,13 @@
 		}
 		return t.reply(m, http.StatusServiceUnavailable, "not ready"), false
 	case r.URL.Path == pathEvents && r.Method == http.MethodPost:
-		if err := t.event(m.Body); err != nil {
+		known, err := t.event(m.Body)
+		if err != nil {
 			return t.malformed("malformed call-back", err), true
 		}
+		if !known && t.relay != nil {
+			t.relay(m.Body)
+		}
 		t.Prove()
 		t.Keep()
 		return t.write(response(http.StatusNoContent, nil, 0, m.Close)) && !m.Close, false
@@ -205,15 +222,15 @@
 	return t.wrote
 }
 
-// event reads a call-back.
-func (t *terminal) event(body []byte) error {
+// event reads a call-back and tells whether it named a request of ours.
+func (s *Server) event(body []byte) (known bool, err error) {
 	v, err := fastjson.ParseBytes(body)
 	if err != nil {
-		return err
+		return false, err
 	}
 	id, from, state := v.GetStringBytes("id"), v.GetStringBytes("from"), v.GetStringBytes("state")
 	if len(id) == 0 || len(from) == 0 || len(state) == 0 {
-		return errors.New("id, from or state: missing")
+		return false, errors.New("id, from or state: missing")
 	}
-	return t.regions.Event(string(id), string(from), string(state), v.GetFloat64("share"), v.GetStringBytes("result"))
+	return s.regions.Event(string(id), string(from), string(state), v.GetFloat64("share"), v.GetStringBytes("result"))
 }
