--- /dev/null
+++ b/dispatch/hand_test.go
@@ -0,0 +1,177 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tinroute.example/tinroute/balance"
+	"tinroute.example/tinroute/internal/hand"
+)
+
+// playBanned is play with a book of hand bans that the core obeys.
+func playBanned(t *testing.T, regions int, scene func(*Core, *fleet, *hand.Book)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := balance.Settings{Fleet: 1, Kinds: 1, MaxAttempts: 3, Cancel: true, SecondCopies: true, AskList: true,
+			ConnectTimeout: 250 * time.Millisecond, Tick: 5 * time.Millisecond, TellsStart: true, MaxRetryAfter: 2 * time.Second,
+			Classes: []balance.Class{{Name: "price-read", Aim: time.Second, Stretch: 2, Deadline: 5 * time.Second, Worth: 1, Kind: -1}}}
+		book := hand.New()
+		c, err := New(Options{Settings: s, Hand: book})
+		require.NoError(t, err)
+		f := &fleet{}
+		c.Connect(f, f)
+		go c.Run(t.Context())
+		c.Listed(balance.ListCached, regionsOf(regions))
+		synctest.Wait()
+		scene(c, f, book)
+	})
+}
+
+func regionsOf(n int) []Region {
+	var list []Region
+	for i := range n {
+		list = append(list, Region{Name: string(rune('a' + i)), Member: balance.Member{ID: balance.WorkerID(i + 1), Weight: 1}})
+	}
+	return list
+}
+
+// submitN hands over n transactions of fresh ids and lets the core take them up.
+func submitN(c *Core, f *fleet, from, n int) {
+	for i := range n {
+		c.Submit(&Transaction{ID: fmt.Sprint(from + i), Tenant: -1, Patience: 5 * time.Second, Slots: 1, Terminal: f})
+	}
+	synctest.Wait()
+}
+
+func sentTo(tasks []*Task) map[string]int {
+	to := map[string]int{}
+	for _, t := range tasks {
+		to[t.Region.Name]++
+	}
+	return to
+}
+
+// From the turn after a detach nothing new goes to the worker, whatever the table says of it
+// later, until it is attached; then it is as cold as a worker that has just started.
+func TestHandBanHoldsUntilAttach(t *testing.T) {
+	playBanned(t, 2, func(c *Core, f *fleet, book *hand.Book) {
+		_, err := book.Detach(time.Now(), "nobody")
+		require.ErrorIs(t, err, hand.ErrUnknown, "an id that was never listed")
+		gen, err := book.Detach(time.Now(), "a")
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Equal(t, gen, c.Heard(), "the core tells that it obeys")
+
+		submitN(c, f, 0, 20)
+		require.NotEmpty(t, f.started)
+		require.Zero(t, sentTo(f.started)["a"], "sent to a worker out by hand")
+
+		// The table names it serving again, and whole: the ban holds.
+		c.Listed(balance.ListFull, regionsOf(2))
+		for _, task := range f.started {
+			c.Ended(task, balance.StatusOK, []byte("r"))
+		}
+		f.started = nil
+		synctest.Wait()
+		submitN(c, f, 100, 20)
+		require.Zero(t, sentTo(f.started)["a"], "the table's word lifted the ban")
+
+		again, err := book.Detach(time.Now(), "a")
+		require.NoError(t, err)
+		require.Equal(t, gen, again, "a repeated detach changes nothing")
+
+		for _, task := range f.started {
+			c.Ended(task, balance.StatusOK, []byte("r"))
+		}
+		f.started = nil
+		back := time.Now()
+		_, err = book.Attach("a")
+		require.NoError(t, err)
+		synctest.Wait()
+		var started time.Duration
+		c.post(func() { started = c.handled(c.members[1]).Started })
+		synctest.Wait()
+		require.Equal(t, time.Duration(back.UnixNano()), started, "a worker taken back is cold from then on")
+		submitN(c, f, 200, 40)
+		require.NotZero(t, sentTo(f.started)["a"], "an attached worker gets work again")
+	})
+}
+
+// A ban holds for a worker that the table drops and names again, as a restarted one would be.
+func TestHandBanOverAbsence(t *testing.T) {
+	playBanned(t, 2, func(c *Core, f *fleet, book *hand.Book) {
+		_, err := book.Detach(time.Now(), "a")
+		require.NoError(t, err)
+		synctest.Wait()
+		gone := regionsOf(1)
+		gone[0].Condition = balance.Gone
+		c.Listed(balance.ListChange, gone)
+		c.Listed(balance.ListChange, regionsOf(1))
+		synctest.Wait()
+		submitN(c, f, 0, 20)
+		require.Zero(t, sentTo(f.started)["a"])
+	})
+}
+
+// Whatever the balancer decides, the core sends nothing to a worker out by hand: the send is
+// moot and never leaves.
+func TestHandBanGuardsSend(t *testing.T) {
+	playBanned(t, 2, func(c *Core, f *fleet, book *hand.Book) {
+		_, err := book.Detach(time.Now(), "a")
+		require.NoError(t, err)
+		synctest.Wait()
+		submitN(c, f, 0, 1)
+		c.post(func() { host{c}.Send(1, 1, 0) }) // as a balancer might, were it wrong
+		synctest.Wait()
+		require.Zero(t, sentTo(f.started)["a"])
+	})
+}
+
+// Every final answer is counted once, by its class and verdict, also those given before the
+// core has the transaction; a client that has gone is not counted.
+func TestCounts(t *testing.T) {
+	play(t, 2, func(s *balance.Settings) { s.MaxOpen = 6 }, func(c *Core, f *fleet) {
+		submitN(c, f, 0, 8) // two find too many open
+		require.Len(t, f.answers, 2)
+		for i := range 4 { // each end makes room for the next
+			require.Greater(t, len(f.started), i)
+			task := f.started[i]
+			status := balance.StatusOK
+			if i == 3 {
+				status = balance.StatusUnfit
+			}
+			task.Mark(Written)
+			task.Mark(Written) // once a task
+			c.Ended(task, status, []byte("r"))
+			synctest.Wait()
+		}
+		var left *Transaction
+		for _, task := range f.started[4:] {
+			if !task.Transaction.over {
+				left = task.Transaction
+				break
+			}
+		}
+		require.NotNil(t, left)
+		c.Leave(left)
+		synctest.Wait()
+		k := c.Counts()[0]
+		served, refused, failed := 0, 0, 0
+		for _, a := range f.answers {
+			switch a.Verdict {
+			case Served:
+				served++
+			case Refused:
+				refused++
+			default:
+				failed++
+			}
+		}
+		require.Equal(t, ClassCounts{Served: int64(served), Refused: int64(refused), Failed: int64(failed), Written: 4}, k)
+		require.Equal(t, 3, served)
+		require.Equal(t, 1, failed)
+	})
+}
--- a/internal/ops/door.go
+++ b/internal/ops/door.go
@@ -18,7 +18,6 @@
 
 	"tinroute.example/tinroute/internal/complain"
 	"tinroute.example/tinroute/internal/hand"
-	"tinroute.example/tinroute/internal/link"
 	"tinroute.example/tinroute/internal/platform"
 )
 
@@ -176,12 +175,8 @@
 
 // serve reads one call, answers it and ends.
 func (d *Door) serve(c *call) {
-	_ = c.SetReadDeadline(c.since.Add(callWithin))
-	var m *platform.Message
-	err := link.Read(c.Conn, platform.NewRequestFramer(), func(got *platform.Message) bool {
-		m = got
-		return false // one call to a connection
-	})
+	_ = c.SetReadDeadline(c.since.Add(callWithin)) // for the whole call, however it trickles in
+	m, err := read(c.Conn)
 	if m == nil {
 		var timeout net.Error
 		switch {
@@ -204,11 +199,35 @@
 	d.write(c, status, text)
 }
 
-func isMalformed(err error) bool {
-	bad := (*link.Malformed)(nil)
-	return errors.As(err, &bad)
+// read reads the one call of a connection. A framer's error is the caller's fault and is
+// marked so; any other error is the connection's.
+func read(c net.Conn) (*platform.Message, error) {
+	f := platform.NewRequestFramer()
+	buf := make([]byte, 4<<10)
+	for {
+		n, err := c.Read(buf)
+		f.Feed(buf[:n])
+		m, bad := f.Next()
+		if bad != nil {
+			return nil, malformed{bad}
+		}
+		if m != nil {
+			return m, nil
+		}
+		if err != nil {
+			if m, bad := f.End(); m != nil && bad == nil {
+				return m, nil
+			}
+			return nil, err
+		}
+	}
 }
 
+// malformed is an error that the caller's bytes caused.
+type malformed struct{ error }
+
+func isMalformed(err error) bool { return errors.As(err, new(malformed)) }
+
 // answer decides the answer to a whole call that came at the instant given.
 func (d *Door) answer(m *platform.Message, came time.Time) (int, string) {
 	r := m.Request
@@ -255,7 +274,13 @@
 	case err != nil:
 		return http.StatusInternalServerError, err.Error()
 	}
-	if !d.obeyed(gen, came.Add(answerWithin)) {
+	obeyed := d.obeyed(gen, came.Add(answerWithin))
+	word := "worker detached"
+	if r.URL.Path == PathAttach {
+		word = "worker attached"
+	}
+	d.o.Log.Info(word, "id", id, "generation", gen, "obeyed", obeyed)
+	if !obeyed {
 		return http.StatusServiceUnavailable, "taken, but not yet obeyed; it binds within a second"
 	}
 	if r.URL.Path == PathDetach {
