--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
@@ -195,6 +196,7 @@
 	case <-ctx.Done():
 	}
 	within := d.untilKilled() - beforeKill
+	before := d.answered()
 	var drained sync.WaitGroup
 	for _, f := range fronts {
 		drained.Go(func() {
@@ -202,6 +204,7 @@
 		})
 	}
 	drained.Wait()
+	d.Log.Info("answered while draining", "classes", d.answeredSince(before))
 	if spans != nil {
 		spans.Flush() // while the cores can still be asked
 	}
@@ -209,6 +212,30 @@
 	return nil
 }
 
+// answered counts the final answers of every core, by class.
+func (d *Daemon) answered() []dispatch.ClassCounts {
+	all := make([]dispatch.ClassCounts, len(d.Config.Settings.Classes))
+	for _, c := range d.cores {
+		for i, k := range c.Counts() {
+			all[i].Served += k.Served
+			all[i].Refused += k.Refused
+			all[i].Failed += k.Failed
+		}
+	}
+	return all
+}
+
+// answeredSince tells, for each class, how many were served, refused and failed since the counts
+// given.
+func (d *Daemon) answeredSince(before []dispatch.ClassCounts) string {
+	var b strings.Builder
+	for i, k := range d.answered() {
+		fmt.Fprintf(&b, "%s:%d/%d/%d ", d.Config.Settings.Classes[i].Name,
+			k.Served-before[i].Served, k.Refused-before[i].Refused, k.Failed-before[i].Failed)
+	}
+	return strings.TrimSpace(b.String())
+}
+
 // untilKilled is how long the process has at least from the word to end.
 func (d *Daemon) untilKilled() time.Duration {
 	deadline := time.Duration(0)
