--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -188,6 +188,11 @@
 	p := func(format string, a ...any) { fmt.Fprintf(out, format+"\n", a...) }
 	c := s.config
 	p("%s listens at %s and asks discovery at %s", c.Name, c.Listen, c.Discovery)
+	if c.Ops != "" {
+		p("the operators' door is at %s; workers out by hand pass to a successor through %s", c.Ops, os.TempDir())
+	} else {
+		p("no operators' door: ops and $LB_OPS are unset")
+	}
 	p("limits: %g cores, %d MB, %d descriptors; %d open requests", c.Limits.Cores, c.Limits.MemoryMB, c.Limits.Sockets, c.Settings.MaxOpen)
 	p("at most %d attempts at a request, a region is connected to within %v", c.Settings.MaxAttempts, c.Settings.ConnectTimeout)
 	for _, k := range c.Settings.Classes {
