Operators' door: callers that come all at once are not pushed out for one another

At 16 connections admit (internal/ops/door.go) closed the oldest without a whole call, which was a caller connected a moment before. Also: one scrape at a time asked the cores for hosts and the others waited on its lock, 200 ms a core each; now they take the last counts. Change: at the bound only a connection silent for 100 ms gives way; below 32 a younger one is kept.

--- a/cmd/tinroute/upgrade_test.go
+++ b/cmd/tinroute/upgrade_test.go
@@ -214,6 +214,19 @@
 	code, vars, err := call(opsNew, "GET", "/_vars", "")
 	require.NoError(t, err)
 	require.Equal(t, 200, code)
+	var scrapes sync.WaitGroup // scrapers at once, beside the load: each is answered within a second
+	var slowScrape atomic.Int64
+	for range 20 {
+		scrapes.Go(func() {
+			asked := time.Now()
+			if code, _, err := call(opsNew, "GET", "/_vars", ""); err != nil || code != 200 || time.Since(asked) > time.Second {
+				slowScrape.Add(1)
+				t.Logf("scrape: %d %v after %v", code, err, time.Since(asked))
+			}
+		})
+	}
+	scrapes.Wait()
+	require.Zero(t, slowScrape.Load(), "scrapes late or not answered")
 	stop.Store(true)
 	clients.Wait()
 
--- a/internal/daemon/door.go
+++ b/internal/daemon/door.go
@@ -6,11 +6,12 @@
 	"sync"
 	"time"
 
+	"tinroute.example/tinroute/dispatch"
 	"tinroute.example/tinroute/internal/ops"
 )
 
 // hostsWithin is how long the door waits for a core to count its hosts; a busier core's last
-// count is told.
+// count is told, and so is the last count to scrapes that come while one asks.
 const hostsWithin = 200 * time.Millisecond
 
 // door opens the operators' door at its address. It answers from the cores, the book of hand
@@ -21,8 +22,9 @@
 		return nil, fmt.Errorf("ops: listen: %w", err)
 	}
 	cores := d.cores
-	var mu sync.Mutex
-	last := make([]struct{ listed, down int }, len(cores))
+	var asking sync.Mutex // one scrape at a time asks the cores; the others take the last counts
+	var mu sync.Mutex     // guards last
+	last := make([]dispatch.Hosts, len(cores))
 	figures := func() ops.Figures {
 		f := ops.Figures{}
 		for _, c := range d.Config.Settings.Classes {
@@ -37,14 +39,21 @@
 			}
 			f.Inflight += core.Open()
 		}
-		mu.Lock() // one scrape at a time asks the cores; the others wait for it
-		defer mu.Unlock()
-		for i, core := range cores {
-			if h, ok := core.Hosts(hostsWithin); ok {
-				last[i].listed, last[i].down = h.Listed, h.Down
+		if asking.TryLock() {
+			for i, core := range cores {
+				if h, ok := core.Hosts(hostsWithin); ok {
+					mu.Lock()
+					last[i] = h
+					mu.Unlock()
+				}
 			}
-			f.HostsListed += last[i].listed
-			f.HostsDown += last[i].down
+			asking.Unlock()
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		for _, h := range last {
+			f.HostsListed += h.Listed
+			f.HostsDown += h.Down
 		}
 		return f
 	}
--- a/internal/ops/door.go
+++ b/internal/ops/door.go
@@ -29,10 +29,12 @@
 	// that the cores have not confirmed by then is answered no, and binds all the same.
 	answerWithin = 700 * time.Millisecond
 	writeWithin  = time.Second
-	// Most is the number of connections held at once by default. At the bound the oldest one
-	// without a whole call gives way to the new one: callers that hold connections idle cannot
-	// keep an operator out.
+	// Most is the number of connections held at once by default, twice as many for callers that
+	// come all at once. At the bound the oldest one without a whole call gives way to the new one:
+	// callers that hold connections idle cannot keep an operator out.
 	Most = 16
+	// young is how long a new connection has to send its call before it may give way.
+	young = 100 * time.Millisecond
 	// maxID bounds the body of a call about a worker.
 	maxID = hand.MaxName
 	// lookEvery is how often a call about a worker looks whether the cores obey it.
@@ -126,7 +128,10 @@
 	}
 }
 
-// admit takes a connection in, making room for it at the bound.
+// admit takes a connection in, making room for it at the bound. A caller that has just connected
+// has had no time to send its call, so only one that has been silent for a while gives way at Most;
+// callers that come all at once are taken up to twice as many, and only there does the oldest
+// without a whole call give way, however young.
 func (d *Door) admit(c *call) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -140,8 +145,8 @@
 				oldest = o
 			}
 		}
-		if oldest != nil { // its reader ends, and so does it
-			_ = oldest.Close()
+		if oldest != nil && (c.since.Sub(oldest.since) >= young || len(d.conns) >= 2*d.o.Most) {
+			_ = oldest.Close() // its reader ends, and so does it
 			delete(d.conns, oldest)
 		}
 	}
