Drain: do not close an idle connection on which a request has come unread

A client's next request that has reached the kernel's buffer but not yet its reader looks idle there: closing it ends a request that was taken. Where the system cannot tell, nothing is pending, as before.

--- /dev/null
+++ b/internal/link/pending_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package link
+
+import "net"
+
+// pending cannot tell on this system: nothing is taken to be pending.
+func pending(net.Conn) bool { return false }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -233,6 +233,9 @@
 
 // yields tells whether the connection may be closed for a new one by now.
 func (p *Peer) yields() bool {
+	if p.rank() != rankLeaving && pending(p.Conn) { // a request has come that its reader has not taken up
+		return false
+	}
 	switch idle := time.Since(p.since); p.rank() {
 	case rankLeaving:
 		return true
@@ -292,6 +295,8 @@
 		switch {
 		case p.busy > 0:
 			busy++
+		case pending(p.Conn): // a request has come that its reader has not yet taken up
+			busy++
 		case all || !p.keep:
 			_ = p.Close()
 		}
