--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -73,10 +73,7 @@
 // Start takes up what a predecessor left, before anything is served, and then keeps the file
 // in step until Close.
 func (k *Keeper) Start() {
-	k.look()
-	if s := k.o.Book.State(); len(s.Out) > 0 {
-		k.o.Log.Info("workers out by hand, taken over", "ids", s.Out, "generation", s.Gen)
-	}
+	k.look("workers out by hand, taken over")
 	changed := k.o.Book.Subscribe()
 	tick := time.NewTicker(k.o.Every)
 	k.done.Go(func() {
@@ -88,7 +85,7 @@
 				return
 			case <-changed:
 			case <-tick.C:
-				k.look()
+				k.look("workers out by hand, as the other process wrote")
 			}
 			k.write()
 		}
@@ -101,8 +98,8 @@
 	k.done.Wait()
 }
 
-// look reads the file where it changed, and adopts what is newer.
-func (k *Keeper) look() {
+// look reads the file where it changed, and adopts what is newer, telling so by the line given.
+func (k *Keeper) look(line string) {
 	info, err := os.Stat(k.path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return
@@ -133,7 +130,7 @@
 	k.told = ""
 	k.written = max(k.written, s.Gen)
 	if k.o.Book.Adopt(k.o.Now(), s) {
-		k.o.Log.Info("workers out by hand, as the other process wrote", "ids", s.Out, "generation", s.Gen)
+		k.o.Log.Info(line, "ids", s.Out, "generation", s.Gen)
 	}
 }
 
