Policy: a crowd sizes workers by the list's weight and shares cold budgets

A probe logged each send and each start notice. From 10 s to 19 s the new, cold workers got 8 to 66 of 400 to 600 sends a second and started them within ~20 ms, while the old workers' wait from send to start rose from ~20 ms to 1.9 s. The cold room went unused while the old workers queued.

Ruled out: discovery being the bottleneck for new workers (they are learned ~2 s after listing, but then go unused for seconds more); refused connects (544, all at old workers that had gone, retried at once).

Two lines were at fault. coldTurn gave each cold worker's whole budget to one dispatcher of 80 per turn, and one sees a job or two a second. And estimate took every worker for one slot (a probe of the budget showed est=1.0 at all 80): in a crowd, begin() raises w.slots to the dispatcher's own count only, which is 1; the list's weight (3 and 2, the cores; weights are 'rough') went unused, so the cold budget was a third of what it is.

Change: in a crowd with weights that tell size, estimate is the larger of the own count and the weight. A cold worker's budget is shared, in each turn, by as many dispatchers as each still has room for a job of the usual size (coldOwners), each keeping its part; all together stay within the same 0.7 of what pushes the worker over.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -365,13 +365,14 @@
 // coldAllows keeps a cold worker's budget in every window, counting refused work too:
 // all dispatchers together must not push the worker over, and none sees what the
 // others send. Even parts would fit no job where dispatchers are many, and leave cold
-// workers idle under load; so they take turns by the worker's age.
+// workers idle under load; so a few take turns by the worker's age, each with its part.
 func (b *Balancer) coldAllows(j *job, w *worker) bool {
 	age := b.now - w.Started
 	if !b.isCold(w) || b.s.FallSpan <= 0 {
 		return true
 	}
-	if !b.coldTurn(w, max(0, age)) {
+	owners := b.coldOwners(w, max(0, age))
+	if !b.coldTurn(w, max(0, age), owners) {
 		return false
 	}
 	for len(w.spent) > 0 && w.spent[0].at < b.now-b.s.FallSpan {
@@ -381,14 +382,28 @@
 	for _, s := range w.spent {
 		sum += s.cost
 	}
+	return sum <= b.coldBudget(w, max(0, age))/float64(owners)
+}
+
+// coldBudget is the work, in seconds at the worker, that all dispatchers together may send
+// a cold worker in one window: 0.7 of what pushes it over, against estimates that are off.
+func (b *Balancer) coldBudget(w *worker, age time.Duration) float64 {
 	part := b.s.ColdFrom + (1-b.s.ColdFrom)*float64(max(0, age-b.s.FallSpan))/float64(b.s.WarmUp)
-	return sum <= 0.7*b.s.FallFactor*part*b.estimate(w)*b.s.FallSpan.Seconds()
+	return 0.7 * b.s.FallFactor * part * b.estimate(w) * b.s.FallSpan.Seconds()
+}
+
+// coldOwners is how many dispatchers share a cold worker's budget in a turn: as many as
+// each still has room for a job of the usual size. One owner of many sees too little work
+// to fill it: the new workers of a replaced fleet stood idle while the old ones queued.
+func (b *Balancer) coldOwners(w *worker, age time.Duration) int {
+	return min(b.s.Fleet, max(1, int(b.coldBudget(w, age)/(b.meanRun()*b.slow(w)))))
 }
 
-// coldTurn tells whether a cold worker's budget is this dispatcher's. A turn has three
-// windows; in its first the work of the last turn's owner still counts, so nothing is
-// sent. Nor is it in a dispatcher's own first window: it may have forgotten what it sent.
-func (b *Balancer) coldTurn(w *worker, age time.Duration) bool {
+// coldTurn tells whether this dispatcher is among the owners of a cold worker's budget. A
+// turn has three windows; in its first the work of the last turn's owners still counts, so
+// nothing is sent. Nor is it in a dispatcher's own first window: it may have forgotten what
+// it sent.
+func (b *Balancer) coldTurn(w *worker, age time.Duration, owners int) bool {
 	turn := 3 * b.s.FallSpan
 	switch {
 	case b.now-b.since < b.s.FallSpan:
@@ -396,7 +411,9 @@
 	case b.s.Fleet > 1 && age >= turn && age%turn < b.s.FallSpan:
 		return false
 	}
-	return (uint64(w.ID)+uint64(age/turn))%uint64(b.s.Fleet) == uint64(b.s.Position)
+	fleet := uint64(b.s.Fleet)
+	first := (uint64(w.ID) + uint64(age/turn)) % fleet
+	return (uint64(b.s.Position)+fleet-first)%fleet < uint64(owners)
 }
 
 // open tells whether a worker takes ordinary work: one that is not held back.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -269,8 +269,8 @@
 // worker idle where dispatchers were many, as no job fitted a part.
 func TestColdBudgetHoldsInEveryWindow(t *testing.T) {
 	type spent struct{ when, cost float64 }
-	for i, fleet := range []int{1, 2, 3, 20, 1, 2, 3, 20} {
-		restarts := i > 3
+	for i, fleet := range []int{1, 2, 3, 20, 80, 1, 2, 3, 20, 80} {
+		restarts := i > 4
 		s := settings()
 		s.Fleet = fleet
 		var bs []*Balancer
--- /dev/null
+++ b/balance/crowd_test.go
@@ -0,0 +1,106 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+// crowd returns n dispatchers that know a cold worker (1, started at 99 s) and a warm one (2),
+// both of weight 3, as a large fleet's new and old workers.
+func crowd(t *testing.T, n int) ([]*Balancer, []*recorder) {
+	t.Helper()
+	s := settings()
+	s.Fleet = n
+	var bs []*Balancer
+	var rs []*recorder
+	for i := range n {
+		s.Position = i
+		r := newRecorder()
+		b, err := New(s, r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Members(90*time.Second, ListFull, []Member{{ID: 1, Weight: 3, Started: 99 * time.Second},
+			{ID: 2, Weight: 3}})
+		bs, rs = append(bs, b), append(rs, r)
+	}
+	return bs, rs
+}
+
+// A large fleet's new workers stood idle while its old ones queued: each cold worker's
+// budget was one dispatcher's of 80, and that one saw a job a second. The fleet together
+// must fill much of the budget, and never go past it.
+func TestCrowdFillsAColdWorkerWithinItsBudget(t *testing.T) {
+	const fleet = 80
+	bs, rs := crowd(t, fleet)
+	type spent struct {
+		when, cost float64
+		by         int
+	}
+	var all []spent
+	id := JobID(1)
+	for now := 100 * time.Second; now < 108*time.Second; now += 20 * ms {
+		step := int(now / (20 * ms))
+		for i, b := range bs {
+			if (step+i*5)%50 != 0 { // a job a second at each, spread over the second
+				continue
+			}
+			before := len(rs[i].sends)
+			request(b, now, id, unsafe)
+			id++
+			for _, s := range rs[i].sends[before:] {
+				if s.to == 1 {
+					all = append(all, spent{now.Seconds(), b.classes[unsafe].mean, i})
+				}
+				end(b, now, s, StatusError) // room comes back at once
+				for _, w := range b.workers {
+					w.held, w.errors = 0, 0
+				}
+			}
+		}
+	}
+	// What pushes the worker over in a window of 2 s from a: its weight, the cold share
+	// by then, the factor.
+	over := func(a float64) float64 { return 3 * 2 * 3 * (0.3 + 0.7*(a-99)/10) }
+	most, owners := 0.0, map[int]bool{}
+	for i, a := range all {
+		owners[a.by] = true
+		sum := 0.0
+		for _, o := range all[i:] {
+			if o.when < a.when+2 {
+				sum += o.cost
+			}
+		}
+		if sum > 0.75*over(a.when) {
+			t.Fatalf("window from %.2f: %.2f s of work, safe is %.2f", a.when, sum, 0.75*over(a.when))
+		}
+		most = max(most, sum/over(a.when))
+	}
+	if most < 0.35 || len(owners) < 4 {
+		t.Fatalf("at most %.2f of what would push the worker over in a window, from %d dispatchers",
+			most, len(owners))
+	}
+}
+
+// One of many sees at most a job or two of its own at a worker; taken for the worker's
+// size, that made every worker one slot, and its cold budget a third of what it is.
+func TestCrowdTakesASizeFromTheList(t *testing.T) {
+	bs, rs := crowd(t, 80)
+	b, r := bs[0], rs[0]
+	w := b.byID[2]
+	request(b, 100*time.Second, 1, safe)
+	if len(r.sends) == 0 {
+		t.Fatal("nothing sent")
+	}
+	b.Note(100*time.Second+10*ms, r.last().job, r.last().attempt, NoteStarted, 0)
+	if got := b.estimate(w); got != 3 {
+		t.Fatalf("a worker of weight 3 with one job of ours started is taken for %v slots", got)
+	}
+	// Alone, a dispatcher sees what a worker holds, and learns it by the count.
+	one, _ := fixture(t, settings(), 2)
+	one.byID[1].Weight = 3
+	one.setSlots(one.byID[1], 1)
+	if got := one.estimate(one.byID[1]); got != 1 {
+		t.Fatalf("a lone dispatcher takes a worker that it found full with one job for %v slots", got)
+	}
+}
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -73,6 +73,10 @@
 // of a kind not met yet, the others' mean by the stated weight.
 func (b *Balancer) estimate(w *worker) float64 {
 	switch k := b.kinds[w.Kind].slots; {
+	case b.crowd && !b.s.NoWeights && w.Weight >= 1:
+		// One of many holds too few jobs at any worker to see its size: its own there are a
+		// floor, and took every worker for one slot. The list's weight tells the size.
+		return max(w.slots, math.Round(w.Weight))
 	case w.slots > 0:
 		return w.slots
 	case k > 0 || b.s.NoWeights:
--- a/balance/state.go
+++ b/balance/state.go
@@ -443,7 +443,7 @@
 			if b.now >= b.coldUntil {
 				break
 			}
-			if b.isCold(w) && b.coldTurn(w, max(0, b.now-w.Started)) {
+			if age := max(0, b.now-w.Started); b.isCold(w) && b.coldTurn(w, age, b.coldOwners(w, age)) {
 				b.turns = append(b.turns, w)
 			}
 		}
