Service table: a list of version 0 is held; ask for what changed after it

With version 0 held, the first call of each subscription is after=0&wait_ms=0 and answers nothing new.

Change: the table keeps 'held' apart from the version, reset on a move of discovery.

--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -41,7 +41,8 @@
 
 	// The rest is Run's own.
 	addr    string
-	version int64 // of the list held, 0 where there is none of this address
+	version int64 // of the list held
+	held    bool  // a list of this address is held: discovery's first version may be 0
 	conn    net.Conn
 	framer  link.Framer[Message]
 }
@@ -71,7 +72,7 @@
 	defer t.mu.Unlock()
 	here, t.leave = context.WithCancel(ctx)
 	if moved = t.addr != t.next; moved {
-		t.addr, t.version = t.next, 0
+		t.addr, t.version, t.held = t.next, 0, false
 		if t.conn != nil {
 			_ = t.conn.Close()
 			t.conn = nil
@@ -130,7 +131,7 @@
 
 // subscribe watches until a call fails or the context ends.
 func (t *Table) subscribe(ctx context.Context) {
-	goes := t.once(ctx, t.version != 0, 0)
+	goes := t.once(ctx, t.held, 0)
 	for goes {
 		goes = t.once(ctx, true, watchWait)
 	}
@@ -240,7 +241,7 @@
 			Kind: named(t.names.Kind, e.GetStringBytes("kind")), Zone: named(t.names.Zone, e.GetStringBytes("zone")),
 			Cell: e.GetInt("cell"), Started: time.Duration(e.GetFloat64("started_ms") * 1e6)}})
 	}
-	t.version = v.GetInt64("version")
+	t.version, t.held = v.GetInt64("version"), true
 	return v.GetBool("full"), list, nil
 }
 
