Policy: in a crowd a start is late only after half its class's aim

The send probe split them by attempt number; the start probe showed calm waits from send to start of 14 to 36 ms on average. startBound (measure.go) was three least lags plus three ticks, 20 to 30 ms on loopback, so a job that merely queued behind other dispatchers' work counted as stuck, and recall (balance.go) sent two copies of it in a crowd. Each dispatcher's copies are harmless; 80 dispatchers' copies filled the queues. One large-fast worker in the jam started 1 to 4 jobs a second with waits of 2 to 4 s while 26 nav-runs, 15 of them resends, went to it within two seconds.

Change: in a crowd the bound is the larger of the least-lag bound and half of the class's aim (100 ms for price-read and price-fix, 375 ms for nav-run), from the settings' target_s. Alone, or among few, nothing changes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -653,7 +653,7 @@
 	}
 	for i := 0; i < len(b.starting); i++ {
 		a := b.starting[i]
-		if a.cancelled || b.now < a.sent+b.startBound(a.w) {
+		if a.cancelled || b.now < a.sent+b.startBound(a) {
 			continue
 		}
 		if !a.stuck {
@@ -900,7 +900,7 @@
 	}
 	for _, a := range b.starting {
 		if !a.stuck {
-			soon(a.sent + b.startBound(a.w))
+			soon(a.sent + b.startBound(a))
 		} else if b.crowd {
 			soon(b.now + seconds(b.meanRun()/8))
 		}
--- a/balance/crowd_test.go
+++ b/balance/crowd_test.go
@@ -104,3 +104,28 @@
 		t.Fatalf("a lone dispatcher takes a worker that it found full with one job for %v slots", got)
 	}
 }
+
+// In a crowd others' jobs are ahead of some of ours at every worker. Where a start that
+// took three least lags counted as late, every dispatcher copied jobs that merely queued
+// for tens of milliseconds, twice each, and all together filled every queue with copies.
+func TestACrowdDoesNotCopyAJobThatMerelyQueues(t *testing.T) {
+	for _, wait := range []time.Duration{40 * ms, 100 * ms, 200 * ms} {
+		s := settings()
+		s.Fleet = 80
+		b, r := fixture(t, s, 4)
+		at := 10 * time.Second
+		for i := range 20 { // starts after 4 ms teach the least lag
+			request(b, at, JobID(100+i), safe)
+			start(b, at+4*ms, r.last())
+			end(b, at+30*ms, r.last(), StatusOK)
+			at += 100 * ms
+		}
+		request(b, at, 1, safe)
+		pass(b, r, at, at+wait)
+		copied := r.sentTo(1) > 1
+		// The class's aim is 300 ms: half of it may go by in a queue.
+		if late := wait > 150*ms; copied != late {
+			t.Fatalf("a job that waited %v to start: copied %v", wait, copied)
+		}
+	}
+}
--- a/balance/danger_test.go
+++ b/balance/danger_test.go
@@ -34,7 +34,7 @@
 		end(b, at+lag+10*ms, r.last(), StatusOK)
 		at += time.Second
 	}
-	if got := b.startBound(w); got > 50*ms {
+	if got := b.startBound(&attempt{j: &job{c: &b.classes[safe]}, w: w}); got > 50*ms {
 		t.Fatalf("bound %v after every other start waited", got)
 	}
 }
@@ -956,7 +956,7 @@
 	b, _ := fixture(t, settings(), 2)
 	far := b.byID[1]
 	far.group.lag, far.lag = 0.001, 0.2
-	if got := b.startBound(far); got < 600*ms {
+	if got := b.startBound(&attempt{j: &job{c: &b.classes[safe]}, w: far}); got < 600*ms {
 		t.Fatalf("bound %v", got)
 	}
 	if b.lagOf(far) != far.lag {
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -295,9 +295,16 @@
 }
 
 // startBound is how long the word of a start may take at a worker with room. It
-// follows the least time seen: waits in the worker's queue must not stretch it.
-func (b *Balancer) startBound(w *worker) time.Duration {
-	return seconds(3*b.lagOf(w)) + 3*b.s.Tick
+// follows the least time seen: waits in the worker's queue must not stretch it. In a
+// crowd, others' jobs are always ahead of some of ours: a wait that leaves the job its
+// aim is none, or every dispatcher copies a job that merely queues, and all together
+// fill every queue with copies.
+func (b *Balancer) startBound(a *attempt) time.Duration {
+	least := seconds(3*b.lagOf(a.w)) + 3*b.s.Tick
+	if b.crowd {
+		return max(least, time.Duration(float64(a.j.c.Aim)*0.5))
+	}
+	return least
 }
 
 // lagOf is the least lag of a worker's starts, in seconds; a crowd meets each worker too
