Attempts: a try whose connection never came up is none; nine tries at most

A probe in again() counted the requests that ran out of attempts: from 15 s on about 1,000, of which 400 had met only refused connections and 600 one or two. Each dispatcher meets each dead worker once (80 x 42 is about the 3,300 refused connects counted); longer holds (16 times the base instead of 4) left that count unchanged, so holds were ruled out.

The protocol counts an attempt once its last byte has arrived. A refused connect, or a write cut short, arrived nowhere, yet maySend and recall (balance.go) and the core's guard in Send counted every try.

Change: job.spent and Transaction.spent count attempts that arrived, and stop tries of all kinds at three times the most attempts.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -204,6 +204,7 @@
 	b.release(j, a)
 	j.unfit = j.unfit || r.Status == StatusUnfit
 	a.ran = !r.Status.NeverRan()
+	a.unreached = r.Status == StatusUnreachable
 	b.judge(j, a, r)
 	b.report(a.w, r.Report)
 	if b.crowd && a.started && r.Status == StatusOK && (a.w.sign != signMany || a.w.sureAt != now) {
@@ -304,7 +305,7 @@
 
 // maySend tells whether any worker might still be sent the job.
 func (b *Balancer) maySend(j *job) bool {
-	if len(j.attempts) >= b.s.MaxAttempts || b.now >= j.end-margin {
+	if j.spent(b.s.MaxAttempts) || b.now >= j.end-margin {
 		return false
 	}
 	first := j.firstRan()
@@ -689,7 +690,7 @@
 
 func (b *Balancer) recall(j *job, a *attempt) {
 	if j.over || j.out > 1 && !b.crowd || a != j.newest() ||
-		len(j.attempts) >= b.s.MaxAttempts || !b.s.Cancel {
+		j.spent(b.s.MaxAttempts) || !b.s.Cancel {
 		return
 	}
 	switch {
--- a/balance/crowd_test.go
+++ b/balance/crowd_test.go
@@ -129,3 +129,18 @@
 		}
 	}
 }
+
+// Tries whose connection never came up are no attempts, but they are bounded too.
+func TestUnreachedTriesAreBounded(t *testing.T) {
+	b, r := fixture(t, settings(), 20)
+	request(b, 10*time.Second, 1, safe)
+	for i := 0; i < 30 && len(r.sends) > i; i++ {
+		end(b, 10*time.Second+time.Duration(i)*ms, r.sends[i], StatusUnreachable)
+	}
+	if got := r.sentTo(1); got != 3*4 {
+		t.Fatalf("%d tries, all unreached, at most 4 attempts: want 12", got)
+	}
+	if r.answers[1] != "refused" {
+		t.Fatalf("answer %q", r.answers[1])
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -90,6 +90,7 @@
 	sampled     bool
 	keyed       bool // the worker had met the job's key
 	beyond      bool // sent past the worker's estimate
+	unreached   bool // no connection came up: nothing of it arrived
 }
 
 type job struct {
@@ -302,6 +303,20 @@
 
 func seconds(x float64) time.Duration { return time.Duration(x * 1e9) }
 
+// spent tells whether a job has had its attempts. One whose connection never came up is
+// none, as nothing of it arrived: where most of a list that could not be renewed had gone,
+// jobs were refused after three such tries while live workers were there. Tries of all
+// kinds stop at three times as many.
+func (j *job) spent(most int) bool {
+	n := 0
+	for _, a := range j.attempts {
+		if !a.unreached {
+			n++
+		}
+	}
+	return n >= most || len(j.attempts) >= 3*most
+}
+
 // firstRan is the earliest attempt that may have run, or nil.
 func (j *job) firstRan() *attempt {
 	if j.earlier != nil {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -462,6 +462,7 @@
 		return
 	}
 	t.done = true
+	t.unreached = s == balance.StatusUnreachable
 	c.stop(t.limit)
 	tx := t.Transaction
 	tx.out--
@@ -610,7 +611,7 @@
 	// A region receives one attempt of a request at a time: while an earlier one there
 	// is not settled, none is sent.
 	// One out by hand gets nothing new, whatever the balancer was told: this guards the ban.
-	if !known || tx.over || t.Wait <= 0 || len(tx.tasks) > h.settings.MaxAttempts || tx.unsettled[to] > 0 ||
+	if !known || tx.over || t.Wait <= 0 || tx.spent(h.settings.MaxAttempts) || tx.unsettled[to] > 0 ||
 		h.out[region.Name] {
 		t.settled, t.unsent = true, true
 		h.deferred = append(h.deferred, func() { h.ended(t, balance.StatusMoot, nil) })
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -134,3 +134,31 @@
 		require.Len(t, f.started, 1, "its id is free")
 	})
 }
+
+// A try whose connection never came up arrived nowhere and is no attempt: where most of a list
+// that could not be renewed had gone, requests were refused after three refused connects while
+// live regions were there. Tries stay bounded all the same.
+func TestUnreachedTriesAreNoAttempts(t *testing.T) {
+	play(t, 5, nil, func(c *Core, f *fleet) {
+		tx := submit(c, f)
+		for i := range 3 {
+			require.Len(t, f.started, i+1)
+			c.Ended(f.started[i], balance.StatusUnreachable, nil)
+			synctest.Wait()
+		}
+		require.Len(t, f.started, 4, "a fourth region is tried after three refused connects")
+		require.Empty(t, f.answers)
+		c.Ended(f.started[3], balance.StatusOK, []byte("r"))
+		synctest.Wait()
+		require.Equal(t, []Answer{{Verdict: Served, Result: []byte("r")}}, f.answers)
+		require.Zero(t, c.Open())
+
+		c.post(func() { // arrived attempts bound it as before, whatever the balancer asks
+			for _, task := range tx.tasks {
+				task.unreached = false
+			}
+			require.True(t, tx.spent(3))
+		})
+		synctest.Wait()
+	})
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -82,6 +82,19 @@
 	unsettled map[balance.WorkerID]int
 }
 
+// spent tells whether the routed tasks, counting the one just added, are more than the most
+// attempts. One whose connection never came up arrived nowhere and is none; tasks of all
+// kinds stop at three times as many. The balancer counts alike.
+func (tx *Transaction) spent(most int) bool {
+	n := 0
+	for _, t := range tx.tasks {
+		if !t.unreached {
+			n++
+		}
+	}
+	return n > most || len(tx.tasks) > 3*most
+}
+
 // Region is one entry of the service table.
 type Region struct {
 	balance.Member
@@ -106,6 +119,7 @@
 	withdrawn bool
 	unsent    bool // it never left: the driver was not told of it
 	started   bool
+	unreached bool // its connection never came up: it arrived nowhere, and is no attempt
 	limit     *timer
 	counted   *classCounts // where its being written whole is counted
 }
