Policy: share a cold worker's budget among several owners only in a crowd

A probe of the settings: fleet_size 2, so no crowd code runs there; what does run is coldOwners, which gave min(Fleet, k) owners in any fleet. Two dispatchers each had half of a restarted worker's budget, too small for the larger jobs.

Change: outside a crowd coldOwners is 1, as the policy was before; in a crowd it is as before this commit.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -393,10 +393,14 @@
 	return 0.7 * b.s.FallFactor * part * b.estimate(w) * b.s.FallSpan.Seconds()
 }
 
-// coldOwners is how many dispatchers share a cold worker's budget in a turn: as many as
-// each still has room for a job of the usual size. One owner of many sees too little work
-// to fill it: the new workers of a replaced fleet stood idle while the old ones queued.
+// coldOwners is how many dispatchers share a cold worker's budget in a turn. Among few, one
+// sees enough work to fill it, and a part would be too small for the larger jobs. In a crowd,
+// one sees too little: the new workers of a replaced fleet stood idle while the old ones
+// queued. There, as many share it as each still has room for a job of the usual size.
 func (b *Balancer) coldOwners(w *worker, age time.Duration) int {
+	if !b.crowd {
+		return 1
+	}
 	return min(b.s.Fleet, max(1, int(b.coldBudget(w, age)/(b.meanRun()*b.slow(w)))))
 }
 
--- a/balance/crowd_test.go
+++ b/balance/crowd_test.go
@@ -144,3 +144,25 @@
 		t.Fatalf("answer %q", r.answers[1])
 	}
 }
+
+// Among few, one dispatcher sees enough work to fill a cold worker's budget: it keeps all of
+// it in its turn. Parts of it were too small for the larger jobs, and the hand day, where a
+// worker taken back returns cold, lost by them.
+func TestAFewKeepAColdBudgetWhole(t *testing.T) {
+	s := settings()
+	s.Fleet = 2
+	sent := 0
+	for pos := range 2 {
+		s.Position = pos
+		b, r := fixture(t, s, 1)
+		w := b.byID[1]
+		w.Started, w.slots = 99*time.Second, 4
+		// Age 1 s: the budget is 0.7 x 3 x 0.3 x 4 x 2 s, about 5 s of work; this job is 3.5.
+		b.Request(100*time.Second, Job{ID: 1, Class: unsafe, Tenant: -1, Patience: 8 * time.Second, Slots: 1,
+			Hint: 3500 * ms})
+		sent += len(r.sends)
+	}
+	if sent != 1 {
+		t.Fatalf("a job of two thirds of a cold worker's budget sent by %d of 2 dispatchers", sent)
+	}
+}
