tinroute load: open and closed loops, four shapes, times from each request's due instant

Need: nothing of ours made the platform's clients' load at a rate and measured what a stalled dispatcher costs them.

internal/load draws a schedule ahead from a PCG seed (steady, wave, burst, ramp; even or Poisson arrivals, by thinning), sends each request at its instant or as soon as a connection is free, and counts its time from when it was due, into HDR histograms by class. A closed loop keeps so many clients busy instead. The run says when the rate was not held (exit code 1). `tinroute load` takes the classes, deadlines and first tenant from $LB_CONFIG. docs/load.md, docs/design/load.md (the options not taken), cli.md.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -57,6 +57,7 @@
 	Serve      serve                        `cmd:"" default:"withargs" help:"Serve, as the file that LB_CONFIG names says. It is what is done without a word."`
 	Check      check                        `cmd:"" help:"Read every settings file, and explain what it comes to."`
 	Emulate    emulateWord                  `cmd:"" help:"Play a shop of emulated nodes, dispatchers and clients in virtual time."`
+	Load       loadWord                     `cmd:"" help:"Make load on a dispatcher as its clients would, and measure the answers."`
 	Version    version                      `cmd:"" help:"Tell the version."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Tell how a shell completes this program's words."`
 }
