Comparison policies for the emulator; the core decides through a Policy interface

Need: nothing of ours showed how AdaRep as we run it compares.

dispatch.Policy is what the core calls of its balancer (Members, Request, Timer, Gone, Note, Outcome, Probed, View); Options.Policy makes another in its place, balance.New where nil, as every front of the daemon leaves it. internal/compare (no I/O, the clock handed in) holds random, round robin, least outstanding, two choices, and shortest queue with the true state, which the emulator hands it (World.held). They queue nothing, keep drains, attempts (those that arrived), repeats and answers in time, and know no cold budget, as textbook policies know none: the checker's word on that is part of what an experiment shows.

Letting the picker take draining workers fails both (tried).

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -50,7 +50,7 @@
 	heard  atomic.Uint64   // the generation of hand that the balancer has been told
 
 	// The rest is the goroutine's own.
-	balancer *balance.Balancer
+	balancer Policy
 	now      time.Duration
 	jobs     map[balance.JobID]*Transaction
 	ids      map[string]*Transaction // what regions and call-backs may still name
@@ -76,6 +76,22 @@
 	// Hand holds the workers out by hand, which may be shared by several cores. The core sends
 	// nothing new to them from the turn after the change, and tells it by Heard.
 	Hand *hand.Book
+	// Policy makes what decides in place of balance, for experiments that set other policies
+	// beside it; balance.New where nil. The fronts of the daemon leave it nil.
+	Policy func(balance.Settings, balance.Host) (Policy, error)
+}
+
+// Policy decides for a core: balance.Balancer in service, a comparison policy in experiments. The
+// core calls it on its own goroutine, and it acts through the Host alone.
+type Policy interface {
+	Members(now time.Duration, how balance.ListKind, list []balance.Member)
+	Request(now time.Duration, j balance.Job)
+	Timer(now time.Duration, token uint64)
+	Gone(now time.Duration, id balance.JobID)
+	Note(now time.Duration, id balance.JobID, attempt int, what balance.NoteKind, share float64)
+	Outcome(now time.Duration, r balance.Result)
+	Probed(now time.Duration, w balance.WorkerID, st balance.Status, took time.Duration, r balance.Report)
+	View(now time.Duration) balance.View
 }
 
 // New returns a core that does nothing until Connect and Run.
@@ -98,7 +114,11 @@
 		}
 	}
 	var err error
-	c.balancer, err = balance.New(o.Settings, host{c})
+	if o.Policy != nil {
+		c.balancer, err = o.Policy(o.Settings, host{c})
+	} else {
+		c.balancer, err = balance.New(o.Settings, host{c})
+	}
 	return c, err
 }
 
--- a/internal/cli/emulate.go
+++ b/internal/cli/emulate.go
@@ -20,6 +20,7 @@
 	Seed        uint64        `default:"1" help:"Of everything that is drawn."`
 	Fail        []string      `help:"A failure, as KIND,AT,FOR,SHARE[,SIZE]: slow,10s,20s,0.2,5. Kinds: vanish, slow, hang, refuse, fail, reset, pause, drain, outage, cost." placeholder:"F" sep:"none"`
 	Trace       bool          `help:"Write the event log."`
+	Policy      string        `help:"A comparison policy in place of tinroute's own: random, round-robin, least-outstanding, two-choices, shortest-queue (with the true state)." placeholder:"NAME"`
 }
 
 var errRules = errors.New("rules were broken")
@@ -55,7 +56,7 @@
 		return errors.New("--nodes and --load are above 0")
 	}
 	s := emulate.Shop(e.Nodes, e.Dispatchers, e.Load)
-	s.Seed, s.Length = e.Seed, e.Length
+	s.Seed, s.Length, s.Policy = e.Seed, e.Length, e.Policy
 	for _, text := range e.Fail {
 		f, err := failure(text)
 		if err != nil {
--- a/internal/emulate/model.go
+++ b/internal/emulate/model.go
@@ -29,6 +29,9 @@
 	Failures    []Failure
 	WarmUp      time.Duration // of a fresh node, from ColdFrom of its speed to the whole
 	ColdFrom    float64
+	// Policy names a comparison policy of internal/compare that decides in place of tinroute's
+	// own, which decides where it is empty.
+	Policy string
 }
 
 // NodeSpec is one node.
@@ -116,6 +119,7 @@
 	queue events
 	rng   *rand.Rand
 	nodes []*node
+	byID  map[balance.WorkerID]*node
 	cores []*dispatcher
 	jobs  int
 	open  int
--- a/internal/emulate/play.go
+++ b/internal/emulate/play.go
@@ -10,6 +10,7 @@
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
+	"tinroute.example/tinroute/internal/compare"
 )
 
 // Result is what came of a scenario.
@@ -70,18 +71,25 @@
 		return nil, fmt.Errorf("a scenario wants dispatchers, nodes, classes, a rate and a length")
 	}
 	w := &World{s: s, now: epoch, rng: rand.New(rand.NewPCG(s.Seed, 0x656d756c617465)), cost: map[int]float64{},
-		res: Result{Answers: map[string]int{}, Took: map[string][]time.Duration{}}}
+		res: Result{Answers: map[string]int{}, Took: map[string][]time.Duration{}}, byID: map[balance.WorkerID]*node{}}
 	w.rules = &rules{w: w, sends: map[string][]send{}}
 	for _, x := range s.Nodes {
 		if x.Cores < 1 || x.Slots < 1 || x.Speed <= 0 {
 			return nil, fmt.Errorf("node %s: cores, slots and speed are above 0", x.Name)
 		}
 		w.nodes = append(w.nodes, &node{NodeSpec: x, w: w, id: dispatch.RegionID(x.Name), slow: 1})
+		w.byID[w.nodes[len(w.nodes)-1].id] = w.nodes[len(w.nodes)-1]
 	}
 	for i := range s.Dispatchers {
 		d := &dispatcher{w: w, n: i, works: map[*dispatch.Task]*work{}, known: map[balance.WorkerID]*node{}}
 		var err error
-		if d.core, err = dispatch.New(dispatch.Options{Settings: s.settings(i), Clock: func() time.Duration { return w.now }}); err != nil {
+		o := dispatch.Options{Settings: s.settings(i), Clock: func() time.Duration { return w.now }}
+		if s.Policy != "" {
+			o.Policy = func(set balance.Settings, h balance.Host) (dispatch.Policy, error) {
+				return compare.New(s.Policy, set, h, w.held)
+			}
+		}
+		if d.core, err = dispatch.New(o); err != nil {
 			return nil, err
 		}
 		d.core.Connect(d, d)
@@ -91,6 +99,15 @@
 	return w, nil
 }
 
+// held is how many jobs a node holds, running and waiting: the true state that only the bound of
+// the comparison policies is given.
+func (w *World) held(id balance.WorkerID) int {
+	if n := w.byID[id]; n != nil {
+		return len(n.running) + len(n.waiting)
+	}
+	return 0
+}
+
 // Play runs the scenario to its end: until all is answered, or bound of virtual time has passed
 // after the last arrival.
 func (w *World) Play(bound time.Duration) *Result {
