Service table: watches of 2 to 4 s, so that one that falls silent is noticed in seconds

Probe lines in the policy (every send, start, outcome, and why each queued job went to no cold worker), counted over all 324 logs by second: from 8.6 s to 22.5 s the 104 new workers together were sent 0 to 3 jobs a second while the 70 old ones were tried 2,200 to 3,800 times a second (1,100 to 1,750 connects refused by workers that had gone, 400 to 700 turned away full; starts 2 s late). One dispatcher of 324 knew of the new workers. The logs say why: 'service table unreachable ... use of closed network connection' at 22.56 s at all of them, with version 8 read at once after it. Every watch had fallen silent at about 5.7 s; it was held for 20 s, plus 2.5 s for its answer, and nothing else shows silence (table.go, watchWait). Ruled out: processor time (0.03 s in any second), the cold workers' budget (it was never reached: no sends), discovery being overbooked (each call but the silent one was answered within 0.3 s).

Now a watch is held for 2 to 4 s by lot (two fifths of the settings' ask_within_s where that is shorter), doubled by each failed call up to 20 s and halved by each answer.

--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -19,8 +20,13 @@
 )
 
 const (
-	watchWait = 20 * time.Second // how long a watch may hold
-	tableWait = 2500 * time.Millisecond
+	// A watch whose peer has fallen silent shows it by nothing but the lack of an answer at its
+	// end: one held for 20 s left a fleet of 324 blind for 17 s while six in ten of its workers
+	// were replaced. So a watch holds for watchShort at most while discovery answers; where it
+	// fails calls each failure doubles that, up to watchLong, since shorter watches are more calls.
+	watchShort = 4 * time.Second
+	watchLong  = 20 * time.Second
+	tableWait  = 2500 * time.Millisecond // for an answer, past the wait
 )
 
 // Table keeps the service table by asking discovery. It implements dispatch.ServiceTable.
@@ -40,6 +46,8 @@
 	leave context.CancelFunc // ends what is asked of the address before
 
 	// The rest is Run's own.
+	short   time.Duration // the longest watch while discovery answers
+	backoff int           // doublings of it, by failed calls since
 	addr    string
 	version int64 // of the list held
 	held    bool  // a list of this address is held: discovery's first version may be 0
@@ -49,7 +57,11 @@
 
 // NewTable returns a table that asks at the address once it runs.
 func NewTable(core *dispatch.Core, log *slog.Logger, names *config.Names, dial link.Dial, addr string) *Table {
-	return &Table{core: core, log: log, names: names, dial: dial, addr: addr, next: addr, ask: make(chan bool, 2)}
+	short := watchShort
+	if within := core.Settings().AskWithin; within > 0 { // past it the rules take a change for told
+		short = min(short, within*2/5)
+	}
+	return &Table{core: core, log: log, names: names, dial: dial, short: short, addr: addr, next: addr, ask: make(chan bool, 2)}
 }
 
 // Move makes the table ask at another address from now on. It does so at once and for the
@@ -133,10 +145,18 @@
 func (t *Table) subscribe(ctx context.Context) {
 	goes := t.once(ctx, t.held, 0)
 	for goes {
-		goes = t.once(ctx, true, watchWait)
+		goes = t.once(ctx, true, t.hold())
 	}
 }
 
+// hold is how long the next watch is to be held: between half and all of what is allowed now, by
+// lot, since dispatchers that started together, or lost their watches together, would otherwise
+// come back together at each end.
+func (t *Table) hold() time.Duration {
+	most := min(t.short<<t.backoff, watchLong)
+	return most/2 + rand.N(most/2)
+}
+
 // once makes one call, tells the core of its answer, and returns whether there was one. An
 // answer that comes when its address has been left is old news and counts no more.
 func (t *Table) once(ctx context.Context, watch bool, wait time.Duration) bool {
@@ -147,8 +167,12 @@
 	if err != nil {
 		t.log.Warn("service table unreachable", "err", err)
 		t.core.ListFailed()
+		if t.short<<t.backoff < watchLong {
+			t.backoff++
+		}
 		return false
 	}
+	t.backoff = max(0, t.backoff-1)
 	how := balance.ListChange
 	if full {
 		how = balance.ListFull
