--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -58,6 +58,7 @@
 	Check      check                        `cmd:"" help:"Read every settings file, and explain what it comes to."`
 	Emulate    emulateWord                  `cmd:"" help:"Play a shop of emulated nodes, dispatchers and clients in virtual time."`
 	Load       loadWord                     `cmd:"" help:"Make load on a dispatcher as its clients would, and measure the answers."`
+	Experiment experimentWord               `cmd:"" help:"Play days x policies x seeds in virtual time, and sum up each with its spread."`
 	Version    version                      `cmd:"" help:"Tell the version."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Tell how a shell completes this program's words."`
 }
