Drain: bytes just read and the last connections are not idle; nothing is accepted once drained

So the cause is found by reading, not by a trace: - a reader takes the bytes out of the kernel, and the count of what is in work rises in another goroutine (terminal.serve); closeIdle, between the two, found neither SIOCINQ nor busy (server.go); - the listener stayed open after 'drained' until the process ended 50 ms later (lastWords): what it took then was sent on, where the drain had ended before its time, and never answered; - a connection accepted a moment ago, its request still on its way, counted as idle.

Now Peer.Read takes bytes under the lock under which a drain looks, and they count until the next read; a request counts from its reading to its answer; a connection unproven for under 50 ms is let be; and the drain ends by accepting what has come, closing the listener, and serving that.

Tests, each failing with its fix taken out (tried): bytes just read are busy, half a request is not; nothing is accepted once drained. All of dispatch, link, both fronts, daemon and the two-process upgrade pass.

--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -135,7 +135,7 @@
 		c.write()
 	}()
 	last := false // it is told why, and then closed
-	err := link.Read(c.Conn, NewPortFramer(), func(p *Packet) bool {
+	err := link.Read(c.Peer, NewPortFramer(), func(p *Packet) bool {
 		c.text = p.Text
 		if p.Text {
 			c.command(string(p.Body))
--- a/internal/link/pending_linux.go
+++ b/internal/link/pending_linux.go
@@ -1,7 +1,9 @@
 package link
 
 import (
+	"io"
 	"net"
+	"os"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -26,3 +28,43 @@
 	}
 	return failed == nil && n > 0
 }
+
+// readUnder reads what has come, and calls took while it still holds the lock under which the bytes
+// left the system's hands, so that nobody who holds it finds them in neither place. ok is false where
+// the connection is none of the system's.
+func readUnder(c net.Conn, buf []byte, lock func(), unlock func(), took func()) (n int, err error, ok bool) {
+	sc, ok := c.(syscall.Conn)
+	if !ok || len(buf) == 0 {
+		return 0, nil, false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err, true
+	}
+	var failed error
+	err = raw.Read(func(fd uintptr) bool {
+		lock()
+		defer unlock()
+		for {
+			if n, failed = unix.Read(int(fd), buf); failed != unix.EINTR {
+				break
+			}
+		}
+		if failed == unix.EAGAIN {
+			return false
+		}
+		if n > 0 {
+			took()
+		}
+		return true
+	})
+	switch {
+	case err != nil:
+		return 0, err, true
+	case failed != nil:
+		return 0, os.NewSyscallError("read", failed), true
+	case n <= 0:
+		return 0, io.EOF, true
+	}
+	return n, nil, true
+}
--- a/internal/link/pending_test.go
+++ b/internal/link/pending_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"io"
 	"log/slog"
 	"net"
 	"runtime"
@@ -47,3 +48,49 @@
 	require.ErrorAs(t, err, &timeout, "the connection with a request on its way was closed")
 	close(release)
 }
+
+// Between the read and the message's handler neither the system nor the count of what is in work knows
+// of a request: a drain that looked then would close the connection of one that was taken.
+func TestRequestJustReadIsNotIdle(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	read, again := make(chan int, 1), make(chan bool)
+	s := &Server{Log: slog.New(slog.DiscardHandler), Most: 8, Handle: func(p *Peer) {
+		p.Prove()
+		buf := make([]byte, 64)
+		for range 2 {
+			n, _ := p.Read(buf)
+			read <- n
+			<-again
+		}
+	}}
+	go func() { _ = s.Serve(l) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte("POST /price-read"))
+	require.NoError(t, err)
+	require.Equal(t, 16, <-read)
+	require.Equal(t, 1, s.closeIdle(false), "what was read counts as busy")
+	again <- true // half a request was all it was: the reader waits for more
+	require.Eventually(t, func() bool { return s.closeIdle(false) == 0 }, 5*time.Second, time.Millisecond)
+	require.Zero(t, <-read, "and is closed then")
+	close(again)
+}
+
+// A listener that stayed open to the process's end took requests that nobody was left to answer.
+func TestNothingIsAcceptedOnceDrained(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &Server{Log: slog.New(slog.DiscardHandler), Most: 8, Handle: func(p *Peer) { _, _ = io.Copy(p, p) }}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	s.Drain(t.Context(), func() int { return 0 }, 0)
+	require.NoError(t, <-done)
+	_, err = net.Dial("tcp", l.Addr().String())
+	require.Error(t, err)
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,8 @@
 	mu       sync.Mutex
 	peers    map[*Peer]bool
 	changed  chan struct{} // one has ended
+	listener net.Listener
+	served   chan struct{} // nothing is accepted any more
 }
 
 // Peer is one accepted connection.
@@ -58,7 +61,8 @@
 	server *Server
 	prove  *time.Timer // ends it unless it proves itself
 
-	busy    int // messages in work; this and the rest are guarded by Server.mu
+	busy    int  // messages in work; this and the rest are guarded by Server.mu
+	taken   bool // bytes have been read that no message has been made of yet
 	proven  bool
 	leaving bool // its last answer is given
 	keep    bool
@@ -73,6 +77,23 @@
 	p.prove.Stop()
 }
 
+// Read takes what has come. Until the next Read it counts as a message on its way: between here and
+// the message's handler neither the system nor a count would tell a drain of it, and the connection
+// of a request that was taken would be closed.
+func (p *Peer) Read(buf []byte) (n int, err error) {
+	p.server.mu.Lock()
+	p.taken = false
+	p.server.mu.Unlock()
+	n, err, ok := readUnder(p.Conn, buf, p.server.mu.Lock, p.server.mu.Unlock, func() { p.taken = true })
+	if !ok {
+		n, err = p.Conn.Read(buf)
+		p.server.mu.Lock()
+		p.taken = n > 0
+		p.server.mu.Unlock()
+	}
+	return n, err
+}
+
 // Linger waits after the last answer until the peer has had time to read it. ended tells
 // that no one else reads from the connection any more.
 func (p *Peer) Linger(ended <-chan struct{}) {
@@ -121,12 +142,17 @@
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.peers, s.changed = map[*Peer]bool{}, make(chan struct{}, 1)
+	s.listener, s.served = l, make(chan struct{})
 	s.mu.Unlock()
+	defer close(s.served)
 	for {
 		c, err := l.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded): // shut: all that had come is accepted
+			_ = l.Close()
+			return nil
 		case err != nil: // out of descriptors, most likely: some will be closed
 			s.Log.Error("cannot accept", "err", err)
 			time.Sleep(lookAgain)
@@ -256,6 +282,7 @@
 	s.Log.Info("draining", "open", open())
 	tick := time.NewTicker(lookAgain)
 	defer tick.Stop()
+	shut := false
 	for began := time.Now(); ; {
 		select {
 		case <-tick.C:
@@ -266,11 +293,41 @@
 			continue
 		}
 		s.leaving.Store(true)
-		if s.closeIdle(false) == 0 && open() == 0 {
-			s.closeIdle(true)
-			s.Log.Info("drained")
-			return
+		if s.closeIdle(false) > 0 || open() > 0 {
+			continue
 		}
+		// With the listener open until the process ended, a request that came in its last moments
+		// was taken and never answered; so no more is accepted, and what was is served first.
+		if !shut {
+			s.shut()
+			shut = true
+			continue
+		}
+		s.closeIdle(true)
+		s.Log.Info("drained")
+		return
+	}
+}
+
+// lastCall is how long the listener goes on once nothing more is to be accepted: what waits there
+// would be reset with it.
+const lastCall = 5 * time.Millisecond
+
+// shut accepts what has come to the listener, and then closes it.
+func (s *Server) shut() {
+	s.mu.Lock()
+	l, served := s.listener, s.served
+	s.mu.Unlock()
+	if l == nil {
+		return
+	}
+	if d, ok := l.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(time.Now().Add(lastCall)) != nil {
+		_ = l.Close()
+	}
+	select {
+	case <-served:
+	case <-time.After(lookAgain): // at its limit of connections: what it has in hand is let go
+		_ = l.Close()
 	}
 }
 
@@ -293,7 +350,9 @@
 	defer s.mu.Unlock()
 	for p := range s.peers {
 		switch {
-		case p.busy > 0:
+		case p.busy > 0 || p.taken:
+			busy++
+		case !p.proven && !p.leaving && time.Since(p.since) < unprovenEnough: // it was opened to bring something
 			busy++
 		case pending(p.Conn): // a request has come that its reader has not yet taken up
 			busy++
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -96,11 +96,13 @@
 // read goes on while a request is being served, or the client's leaving would not be seen;
 // a second request then waits in the channel.
 func (t *terminal) read() {
-	t.err = link.Read(t.Conn, NewRequestFramer(), func(m *Message) bool {
+	t.err = link.Read(t.Peer, NewRequestFramer(), func(m *Message) bool {
+		t.Busy(1) // until it is answered
 		select {
 		case t.in <- m:
 			return true
 		case <-t.quit:
+			t.Busy(-1)
 			return false
 		}
 	})
@@ -125,7 +127,6 @@
 				return false
 			}
 		}
-		t.Busy(1)
 		goes, refused := t.message(m)
 		t.Busy(-1)
 		if !goes {
