Drain: no connection is closed under the lock under which reads take their bytes

Cause, my last commit: net.Conn's Close waits until a read under way has let go of the descriptor, Peer.Read waits inside such a read for Server.mu, and room() and closeIdle closed under Server.mu.

Now what is to be closed is marked under the lock, nothing more is read from it, and it is closed after the lock is let go. What has just been read counts as busy for connections that give way, too.

--- a/internal/link/pending_linux.go
+++ b/internal/link/pending_linux.go
@@ -1,9 +1,11 @@
 package link
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -30,9 +32,10 @@
 }
 
 // readUnder reads what has come, and calls took while it still holds the lock under which the bytes
-// left the system's hands, so that nobody who holds it finds them in neither place. ok is false where
-// the connection is none of the system's.
-func readUnder(c net.Conn, buf []byte, lock func(), unlock func(), took func()) (n int, err error, ok bool) {
+// left the system's hands, so that nobody who holds it finds them in neither place. Where may, asked
+// under it, says no, nothing is read. Whoever holds the lock must not close the connection: a close
+// waits for this. ok is false where the connection is none of the system's.
+func readUnder(c net.Conn, buf []byte, lock sync.Locker, may func() bool, took func()) (n int, err error, ok bool) {
 	sc, ok := c.(syscall.Conn)
 	if !ok || len(buf) == 0 {
 		return 0, nil, false
@@ -43,8 +46,12 @@
 	}
 	var failed error
 	err = raw.Read(func(fd uintptr) bool {
-		lock()
-		defer unlock()
+		lock.Lock()
+		defer lock.Unlock()
+		if !may() {
+			failed = net.ErrClosed
+			return true
+		}
 		for {
 			if n, failed = unix.Read(int(fd), buf); failed != unix.EINTR {
 				break
@@ -61,6 +68,8 @@
 	switch {
 	case err != nil:
 		return 0, err, true
+	case errors.Is(failed, net.ErrClosed):
+		return 0, failed, true
 	case failed != nil:
 		return 0, os.NewSyscallError("read", failed), true
 	case n <= 0:
--- a/internal/link/pending_other.go
+++ b/internal/link/pending_other.go
@@ -2,9 +2,14 @@
 
 package link
 
-import "net"
+import (
+	"net"
+	"sync"
+)
 
 // pending cannot tell on this system: nothing is taken to be pending.
 func pending(net.Conn) bool { return false }
 
-func readUnder(net.Conn, []byte, func(), func(), func()) (int, error, bool) { return 0, nil, false }
+func readUnder(net.Conn, []byte, sync.Locker, func() bool, func()) (int, error, bool) {
+	return 0, nil, false
+}
--- a/internal/link/pending_test.go
+++ b/internal/link/pending_test.go
@@ -94,3 +94,41 @@
 	_, err = net.Dial("tcp", l.Addr().String())
 	require.Error(t, err)
 }
+
+// A close waits for a read under way. With both under one lock a server at its limit, or draining, stood
+// still for good as soon as one met the other.
+func TestClosingMeetsReading(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	s := &Server{Log: slog.New(slog.DiscardHandler), Most: 4, Handle: func(p *Peer) {
+		p.Prove()
+		_, _ = io.Copy(io.Discard, struct{ io.Reader }{p})
+	}}
+	go func() { _ = s.Serve(l) }()
+	done := make(chan bool)
+	go func() {
+		defer close(done)
+		for range 3000 {
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			go func() {
+				defer c.Close()
+				for range 20 {
+					if _, err := c.Write([]byte("x")); err != nil {
+						return
+					}
+				}
+			}()
+			s.closeIdle(true)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(time.Minute):
+		t.Fatal("the server stands still")
+	}
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -63,6 +63,7 @@
 
 	busy    int  // messages in work; this and the rest are guarded by Server.mu
 	taken   bool // bytes have been read that no message has been made of yet
+	closing bool // found idle, and about to be closed: nothing more is read
 	proven  bool
 	leaving bool // its last answer is given
 	keep    bool
@@ -84,7 +85,7 @@
 	p.server.mu.Lock()
 	p.taken = false
 	p.server.mu.Unlock()
-	n, err, ok := readUnder(p.Conn, buf, p.server.mu.Lock, p.server.mu.Unlock, func() { p.taken = true })
+	n, err, ok := readUnder(p.Conn, buf, &p.server.mu, func() bool { return !p.closing }, func() { p.taken = true })
 	if !ok {
 		n, err = p.Conn.Read(buf)
 		p.server.mu.Lock()
@@ -189,12 +190,16 @@
 	for {
 		s.mu.Lock()
 		full := len(s.peers) >= s.Most
+		var least *Peer
 		if full { // only then: it looks at every connection
-			if p := s.least(); p != nil {
-				_ = p.Close()
+			if least = s.least(); least != nil {
+				least.closing = true
 			}
 		}
 		s.mu.Unlock()
+		if least != nil {
+			_ = least.Close()
+		}
 		if !full {
 			return
 		}
@@ -239,7 +244,7 @@
 	switch {
 	case p.leaving:
 		return rankLeaving
-	case p.busy > 0:
+	case p.busy > 0 || p.taken:
 		return rankBusy
 	case !p.proven:
 		return rankUnproven
@@ -347,7 +352,14 @@
 // are busy.
 func (s *Server) closeIdle(all bool) (busy int) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	var idle []*Peer
+	defer func() {
+		s.mu.Unlock()
+		// A close waits for a read under way, and that may wait for the lock.
+		for _, p := range idle {
+			_ = p.Close()
+		}
+	}()
 	for p := range s.peers {
 		switch {
 		case p.busy > 0 || p.taken:
@@ -357,7 +369,8 @@
 		case pending(p.Conn): // a request has come that its reader has not yet taken up
 			busy++
 		case all || !p.keep:
-			_ = p.Close()
+			p.closing = true
+			idle = append(idle, p)
 		}
 	}
 	return busy
