Fleet ledger: voters carry it by hashicorp/raft, and the leader lets leases lapse

A command whose fate is not known is told as unsure; every command may be put again. design/fleet-budgets.md says why this library and not etcd's.

Left: a voter that lost its folder and comes back under its name is not refused yet (in the design).

--- /dev/null
+++ b/internal/fleet/quorum/quorum.go
@@ -0,0 +1,257 @@
+// Package quorum carries a fleet's ledger: each voter holds the same log by hashicorp/raft, on its own
+// disk, and applies it to a ledger.State. The leader also lets leases lapse. A voter's peers are
+// reached by its own map of addresses, over the library's transport.
+package quorum
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	boltdb "github.com/hashicorp/raft-boltdb/v2"
+
+	"tinroute.example/tinroute/internal/fleet/ledger"
+)
+
+// Options are one voter's.
+type Options struct {
+	Name   string            // this voter's, among Voters
+	Voters map[string]string // addresses by name, as seen from here; this voter's own is what it listens at
+	Dir    string            // its log and snapshots; made where it is missing
+	Fleet  ledger.Settings
+	Terms  ledger.Terms
+	Pace   time.Duration              // of heartbeats and elections, 1 s where 0
+	Clock  func() (now time.Duration) // neither steps nor stands still in a suspend
+	Log    *slog.Logger               // none where nil
+}
+
+// ErrNotLeader is the answer of a voter that does not lead. Nothing was written.
+var ErrNotLeader = errors.New("quorum: not the leader")
+
+// ErrUnsure is the answer where a command may or may not have been written.
+var ErrUnsure = errors.New("quorum: may or may not be written")
+
+const (
+	snapshots = 2
+	conns     = 3
+	// applyWait bounds a command's way to a majority.
+	applyWait = 5 * time.Second
+)
+
+// Voter is one of a fleet's voters.
+type Voter struct {
+	o      Options
+	raft   *raft.Raft
+	store  *boltdb.BoltStore
+	trans  *raft.NetworkTransport
+	fsm    *machine
+	stop   chan struct{}
+	keeper sync.WaitGroup
+}
+
+// Start starts a voter from its folder, or anew where the folder is empty.
+func Start(o Options) (v *Voter, err error) {
+	if o.Voters[o.Name] == "" {
+		return nil, fmt.Errorf("quorum: %q is not among the voters", o.Name)
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Pace <= 0 {
+		o.Pace = time.Second
+	}
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	c := raft.DefaultConfig()
+	c.LocalID = raft.ServerID(o.Name)
+	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout, c.CommitTimeout = o.Pace, o.Pace, o.Pace/2, o.Pace/20
+	c.Logger = hclog.NewNullLogger()
+	v = &Voter{o: o, fsm: &machine{state: ledger.New(o.Fleet)}, stop: make(chan struct{})}
+	defer func() {
+		if err != nil {
+			_ = v.Close()
+			v = nil
+		}
+	}()
+	if v.store, err = boltdb.NewBoltStore(filepath.Join(o.Dir, "log.db")); err != nil {
+		return v, fmt.Errorf("quorum: %s: %w", o.Dir, err)
+	}
+	snaps, err := raft.NewFileSnapshotStore(o.Dir, snapshots, io.Discard)
+	if err != nil {
+		return v, err
+	}
+	if v.trans, err = raft.NewTCPTransport(o.Voters[o.Name], nil, conns, applyWait, io.Discard); err != nil {
+		return v, err
+	}
+	had, err := raft.HasExistingState(v.store, v.store, snaps)
+	if err != nil {
+		return v, err
+	}
+	if !had { // every voter begins with the same list; those that come late are told
+		var servers []raft.Server
+		for name, addr := range o.Voters {
+			servers = append(servers, raft.Server{ID: raft.ServerID(name), Address: raft.ServerAddress(addr)})
+		}
+		slices.SortFunc(servers, func(a, b raft.Server) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+		if err = raft.BootstrapCluster(c, v.store, v.store, snaps, v.trans, raft.Configuration{Servers: servers}); err != nil {
+			return v, err
+		}
+	}
+	if v.raft, err = raft.NewRaft(c, v.fsm, v.store, v.store, snaps, v.trans); err != nil {
+		return v, err
+	}
+	o.Log.Info("voter", "name", o.Name, "fleet", o.Fleet.Fleet, "anew", !had)
+	v.keeper.Go(v.keep)
+	return v, nil
+}
+
+// Apply writes a command and returns what it came to. Only the leader does; ErrUnsure is to be met by
+// asking again, which no command takes for a second one.
+func (v *Voter) Apply(c ledger.Command) (ledger.Answer, error) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return ledger.Answer{}, err
+	}
+	f := v.raft.Apply(data, applyWait)
+	switch err := f.Error(); {
+	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrLeadershipTransferInProgress):
+		return ledger.Answer{}, ErrNotLeader
+	case err != nil:
+		return ledger.Answer{}, fmt.Errorf("%w: %w", ErrUnsure, err)
+	}
+	r := f.Response().(result)
+	return r.answer, r.err
+}
+
+// Leader is the leader's name as this voter knows it, empty where it knows none.
+func (v *Voter) Leader() string {
+	_, id := v.raft.LeaderWithID()
+	return string(id)
+}
+
+// Look calls f with the state, which f must neither keep nor change.
+func (v *Voter) Look(f func(*ledger.State)) {
+	v.fsm.mu.Lock()
+	defer v.fsm.mu.Unlock()
+	f(v.fsm.state)
+}
+
+// keep lets leases lapse while this voter leads, each term counting anew.
+func (v *Voter) keep() {
+	k := ledger.Keeper{Terms: v.o.Terms}
+	tick := time.NewTicker(max(v.o.Terms.Lease/10, time.Millisecond))
+	defer tick.Stop()
+	leads, term := false, uint64(0)
+	for {
+		select {
+		case <-tick.C:
+		case <-v.stop:
+			return
+		}
+		if v.raft.State() != raft.Leader {
+			leads = false
+			continue
+		}
+		// What earlier leaders wrote has to be applied here before any lease is counted.
+		if now := v.raft.CurrentTerm(); !leads || now != term {
+			if v.raft.Barrier(applyWait).Error() != nil {
+				continue
+			}
+			k.Lead()
+			leads, term = true, now
+			v.o.Log.Info("leads", "name", v.o.Name, "term", term)
+		}
+		var due []ledger.Command
+		v.Look(func(s *ledger.State) { due = k.Due(v.o.Clock(), s) })
+		for _, c := range due {
+			if _, err := v.Apply(c); err != nil && !errors.Is(err, ledger.ErrLapsed) {
+				v.o.Log.Warn("lease not ended", "err", err)
+				break
+			}
+		}
+	}
+}
+
+// Close ends the voter; its folder stays.
+func (v *Voter) Close() error {
+	close(v.stop)
+	var errs []error
+	if v.raft != nil {
+		errs = append(errs, v.raft.Shutdown().Error())
+	}
+	v.keeper.Wait()
+	if v.trans != nil {
+		errs = append(errs, v.trans.Close())
+	}
+	if v.store != nil {
+		errs = append(errs, v.store.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// machine is the ledger as raft's state machine.
+type machine struct {
+	mu    sync.Mutex
+	state *ledger.State
+}
+
+type result struct {
+	answer ledger.Answer
+	err    error
+}
+
+// Apply takes one entry. One that cannot be read is an answer too: every voter skips it alike.
+func (m *machine) Apply(l *raft.Log) any {
+	var c ledger.Command
+	if err := json.Unmarshal(l.Data, &c); err != nil {
+		return result{err: fmt.Errorf("quorum: entry %d: %w", l.Index, err)}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a, err := m.state.Apply(c)
+	return result{a, err}
+}
+
+func (m *machine) Snapshot() (raft.FSMSnapshot, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	data, err := m.state.Snapshot()
+	return image(data), err
+}
+
+func (m *machine) Restore(r io.ReadCloser) error {
+	defer r.Close()
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Restore(data)
+}
+
+type image []byte
+
+func (i image) Persist(sink raft.SnapshotSink) error {
+	if _, err := sink.Write(i); err != nil {
+		return errors.Join(err, sink.Cancel())
+	}
+	return sink.Close()
+}
+
+func (image) Release() {}
