Fleet voters: an empty folder starts only by an operator's word

What: Options.Begin; without it Start answers ErrEmpty with the folder's name and leaves nothing running. With the check taken out the refusal is not met.

--- a/internal/fleet/quorum/quorum.go
+++ b/internal/fleet/quorum/quorum.go
@@ -26,7 +26,8 @@
 type Options struct {
 	Name   string            // this voter's, among Voters
 	Voters map[string]string // addresses by name, as seen from here; this voter's own is what it listens at
-	Dir    string            // its log and snapshots; made where it is missing
+	Dir    string            // its log and snapshots
+	Begin  bool              // an operator's word that the fleet begins: an empty folder is right
 	Fleet  ledger.Settings
 	Terms  ledger.Terms
 	Pace   time.Duration              // of heartbeats and elections, 1 s where 0
@@ -37,6 +38,10 @@
 // ErrNotLeader is the answer of a voter that does not lead. Nothing was written.
 var ErrNotLeader = errors.New("quorum: not the leader")
 
+// ErrEmpty is Start's answer to an empty folder without Begin. A voter that has lost its folder does not
+// know whom it voted for: let in under its name, it could vote twice in one term.
+var ErrEmpty = errors.New("quorum: the voter's folder holds no log")
+
 // ErrUnsure is the answer where a command may or may not have been written.
 var ErrUnsure = errors.New("quorum: may or may not be written")
 
@@ -58,7 +63,8 @@
 	keeper sync.WaitGroup
 }
 
-// Start starts a voter from its folder, or anew where the folder is empty.
+// Start starts a voter from its folder, or anew where Begin says so. Begin is ignored where there is a
+// log already.
 func Start(o Options) (v *Voter, err error) {
 	if o.Voters[o.Name] == "" {
 		return nil, fmt.Errorf("quorum: %q is not among the voters", o.Name)
@@ -97,6 +103,9 @@
 	if err != nil {
 		return v, err
 	}
+	if !had && !o.Begin {
+		return v, fmt.Errorf("%w: %s", ErrEmpty, o.Dir)
+	}
 	if !had { // every voter begins with the same list; those that come late are told
 		var servers []raft.Server
 		for name, addr := range o.Voters {
--- a/internal/fleet/quorum/quorum_test.go
+++ b/internal/fleet/quorum/quorum_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"testing"
 	"time"
@@ -25,13 +26,17 @@
 	up    map[string]*Voter
 }
 
-func (v *voters) start(name string) {
-	x, err := Start(Options{Name: name, Voters: v.addrs, Dir: filepath.Join(v.dir, name), Fleet: ledger.Settings{Fleet: "f", Generation: 1, MostMembers: 8},
-		Terms: ledger.Terms{Lease: 400 * time.Millisecond, Linger: 400 * time.Millisecond, Drift: 0.01}, Pace: 150 * time.Millisecond, Clock: clock})
+func (v *voters) start(name string, begin bool) {
+	x, err := v.try(name, begin)
 	require.NoError(v.t, err)
 	v.up[name] = x
 }
 
+func (v *voters) try(name string, begin bool) (*Voter, error) {
+	return Start(Options{Begin: begin, Name: name, Voters: v.addrs, Dir: filepath.Join(v.dir, name), Fleet: ledger.Settings{Fleet: "f", Generation: 1, MostMembers: 8},
+		Terms: ledger.Terms{Lease: 400 * time.Millisecond, Linger: 400 * time.Millisecond, Drift: 0.01}, Pace: 150 * time.Millisecond, Clock: clock})
+}
+
 func (v *voters) stop(name string) {
 	require.NoError(v.t, v.up[name].Close())
 	delete(v.up, name)
@@ -73,7 +78,7 @@
 		require.NoError(t, l.Close())
 	}
 	for name := range v.addrs {
-		v.start(name)
+		v.start(name, true)
 	}
 	_, err := v.do(ledger.Command{Fleet: "f", Set: &ledger.Set{Version: 1, Budgets: []ledger.Budget{{Name: "b", Kind: ledger.Held, Whole: 6000}}}})
 	if !errors.Is(err, ledger.ErrVersion) { // written already, where the first word on it was unsure
@@ -111,7 +116,13 @@
 		return two.Held("b").Held() == 6000
 	}, 20*time.Second, 20*time.Millisecond)
 
-	v.start(dead)
+	folder := filepath.Join(v.dir, dead)
+	require.NoError(t, os.Rename(folder, folder+".away"))
+	_, err = v.try(dead, false)
+	require.ErrorIs(t, err, ErrEmpty, "a voter that has lost its folder must not vote as if it had one")
+	require.NoError(t, os.RemoveAll(folder))
+	require.NoError(t, os.Rename(folder+".away", folder))
+	v.start(dead, false)
 	want := func(s *ledger.State) string {
 		data, err := s.Snapshot()
 		require.NoError(t, err)
