--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/csv"
 	"encoding/json"
@@ -42,7 +43,7 @@
 // policies' breaks are findings, told in the summary.
 func (e *experimentWord) Run(r *run) error {
 	plan := experiment.Plan{Seeds: e.Seeds, Nodes: e.Nodes, Dispatchers: e.Dispatchers, Load: e.Load,
-		Length: e.Length, Bound: e.Bound, Workers: cmpOr(e.Workers, runtime.NumCPU())}
+		Length: e.Length, Bound: e.Bound, Workers: cmp.Or(max(0, e.Workers), runtime.NumCPU())}
 	for _, d := range experiment.Days {
 		if len(e.Days) == 0 || slices.Contains(e.Days, d.Name) {
 			plan.Days = append(plan.Days, d)
@@ -125,13 +126,6 @@
 	return nil
 }
 
-func cmpOr(a, b int) int {
-	if a > 0 {
-		return a
-	}
-	return b
-}
-
 // readOutcomes reads a file of outcomes; one that is not there holds none. A last line cut short,
 // as a kill in the midst of a write leaves it, is left out and the file cut back to the lines that
 // are whole, so that what comes next is appended to them; a spoilt line before the last is named.
