Policy: a cold worker's parts are no more than dispatchers to own them

A probe of coldPart over fleets, weights and windows showed the cause: the allowance was cut into 43 to 46 parts for usual jobs, and only 25 can have an owner (balance.go coldPart: owners were bounded by the fleet, parts were not). Ruled out: jobs too large (largest 0.5 of a mean) and learned means apart (the sum of parts alone is 0.38). Parts are now at most one more than there are dispatchers.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -415,7 +415,8 @@
 	if b.crowd {
 		usual := b.guess()
 		turn, parts = span, max(2, math.Floor(b.coldBears(w, age-age%span, usual)/usual))
-		owners = min(uint64(parts)-1, fleet)
+		parts = min(parts, float64(fleet+1)) // more than there are dispatchers would have no owner
+		owners = uint64(parts) - 1
 	} else if fleet > 1 && age >= turn && age%turn < span {
 		return 0
 	}
--- a/balance/crowd_test.go
+++ b/balance/crowd_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "tinroute.example/tinroute/internal/seeded"
 )
 
 // crowd returns n dispatchers that know a cold worker (1, started at 99 s) and a warm one (2),
@@ -153,6 +155,29 @@
 	})
 }
 
+// A worker whose allowance held more usual jobs than there are dispatchers was cut into parts that
+// no one could own: 25 dispatchers had 25 of 46. All parts but one have an owner.
+func TestCrowdOwnsAllPartsButOne(t *testing.T) {
+	for _, fleet := range []int{25, 80, 324} {
+		s := settings()
+		s.Fleet, s.ColdFrom = fleet, 0.9
+		all, bears := 0.0, 0.0
+		for s.Position = range fleet {
+			b, err := New(s, newRecorder())
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Members(90*time.Second, ListFull, []Member{{ID: 7, Weight: 8, Started: 100 * time.Second}})
+			b.now = 106 * time.Second
+			w := b.byID[7]
+			all, bears = all+b.coldPart(w, 6*time.Second), b.coldBears(w, 6*time.Second, b.meanRun())
+		}
+		if all < 0.9*bears || all > 0.99*bears {
+			t.Errorf("%d dispatchers own %.1f s of work of %.1f that a large cold worker bears", fleet, all, bears)
+		}
+	}
+}
+
 // One of many sees at most a job or two of its own at a worker; taken for the worker's
 // size, that made every worker one slot, and its cold budget a third of what it is.
 func TestCrowdTakesASizeFromTheList(t *testing.T) {
--- a/internal/fleet/share/share_test.go
+++ b/internal/fleet/share/share_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "tinroute.example/tinroute/internal/seeded"
 )
 
 func TestDivide(t *testing.T) {
--- a/internal/hand/hand_test.go
+++ b/internal/hand/hand_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "tinroute.example/tinroute/internal/seeded"
 )
 
 var t0 = time.Unix(1_796_000_000, 0)
--- a/internal/jobbook/book_test.go
+++ b/internal/jobbook/book_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "tinroute.example/tinroute/internal/seeded"
 )
 
 // Whatever clients do, the book's figures are those of a plain list of jobs and waiters, every
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -7,6 +7,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "tinroute.example/tinroute/internal/seeded"
+
 	"tinroute.example/tinroute/balance"
 )
 
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "tinroute.example/tinroute/internal/seeded"
 )
 
 func open(t testing.TB, dir string, bytes int64) *Spool {
--- a/internal/tail/tail_test.go
+++ b/internal/tail/tail_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "tinroute.example/tinroute/internal/seeded"
 )
 
 func TestReasons(t *testing.T) {
