--- a/balance/api.go
+++ b/balance/api.go
@@ -210,6 +210,14 @@
 	Report  Report
 }
 
+// Shares are what a fleet's budgets leave to this dispatcher, where it belongs to a fleet that divides
+// them. First is asked once for each new job, from inside Request, with its expected work in seconds,
+// and must not block: budgeted is false where no budget is the tenant's, and wait is in how long it
+// would be admitted.
+type Shares interface {
+	First(tenant int, work float64) (budgeted, ok bool, wait time.Duration)
+}
+
 // Everyone stands for all other dispatchers in Host.Tell.
 const Everyone = -1
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -84,8 +84,18 @@
 		w := &worker{Member: Member{Zone: e.Zone, Cell: e.Cell}}
 		j.earlier = &attempt{j: j, no: -1, w: w, sent: now - e.Ago, done: true, ran: true}
 	}
+	budgeted := false
+	if b.shares != nil && r.Earlier == nil { // one that may have run was admitted then
+		ok, wait := true, time.Duration(0)
+		if budgeted, ok, wait = b.shares.First(r.Tenant, b.sizeOf(j)); !ok { // it has been sent nowhere
+			b.host.Refuse(r.ID, min(max(wait, leastBack), b.s.MaxRetryAfter))
+			return
+		}
+	}
 	b.jobs[r.ID] = j
-	j.worth = c.Worth * b.share(r.Tenant)
+	if j.worth = c.Worth; !budgeted { // what the fleet's budget admits is within the tenant's quota
+		j.worth *= b.share(r.Tenant)
+	}
 	b.enqueue(j)
 	switch {
 	case b.crowd && (b.s.Probes || b.s.Peers && !j.movable()):
--- a/balance/state.go
+++ b/balance/state.go
@@ -146,6 +146,7 @@
 type Balancer struct {
 	s             Settings
 	host          Host
+	shares        Shares // nil without a fleet's budgets
 	rng           *rand.Rand
 	now           time.Duration
 	since         time.Duration // its first list came
@@ -270,6 +271,9 @@
 	return b, nil
 }
 
+// Budgets has new jobs admitted by a fleet's budgets from now on.
+func (b *Balancer) Budgets(s Shares) { b.shares = s }
+
 func (s *Settings) check() error {
 	switch {
 	case len(s.Classes) == 0:
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -76,6 +76,8 @@
 	// Hand holds the workers out by hand, which may be shared by several cores. The core sends
 	// nothing new to them from the turn after the change, and tells it by Heard.
 	Hand *hand.Book
+	// Shares are what a fleet's budgets leave to this dispatcher; nil for none. A Policy is not handed them.
+	Shares balance.Shares
 	// Policy makes what decides in place of balance, for experiments that set other policies
 	// beside it; balance.New where nil. The fronts of the daemon leave it nil.
 	Policy func(balance.Settings, balance.Host) (Policy, error)
@@ -116,9 +118,13 @@
 	var err error
 	if o.Policy != nil {
 		c.balancer, err = o.Policy(o.Settings, host{c})
-	} else {
-		c.balancer, err = balance.New(o.Settings, host{c})
+		return c, err
 	}
+	b, err := balance.New(o.Settings, host{c})
+	if err == nil && o.Shares != nil {
+		b.Budgets(o.Shares)
+	}
+	c.balancer = b
 	return c, err
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -44,6 +44,7 @@
 type Files struct {
 	Gearman   string `help:"Serve Gearman clients too, as this file says." placeholder:"FILE"`
 	Telemetry string `help:"Export telemetry as this file says, beside the OTEL_ variables." placeholder:"FILE"`
+	Fleet     string `help:"Belong to a fleet of dispatchers, with budgets of its own, as this file says." placeholder:"FILE"`
 }
 
 // Logs are how the log is written.
@@ -57,6 +58,7 @@
 	Serve      serve                        `cmd:"" default:"withargs" help:"Serve, as the file that LB_CONFIG names says. It is what is done without a word."`
 	Check      check                        `cmd:"" help:"Read every settings file, and explain what it comes to."`
 	Emulate    emulateWord                  `cmd:"" help:"Play a shop of emulated nodes, dispatchers and clients in virtual time."`
+	Fleet      fleetWord                    `cmd:"" help:"Look at a fleet of dispatchers."`
 	Load       loadWord                     `cmd:"" help:"Make load on a dispatcher as its clients would, and measure the answers."`
 	Experiment experimentWord               `cmd:"" help:"Play days x policies x seeds in virtual time, and sum up each with its spread."`
 	Version    version                      `cmd:"" help:"Tell the version."`
@@ -135,6 +137,7 @@
 	config    *config.Config
 	gearman   *config.Gearman
 	telemetry *config.Telemetry
+	fleet     *config.Fleet
 }
 
 func (f Files) read(getenv func(string) string, load func(func(string) string) (*config.Config, error)) (s settings, err error) {
@@ -146,6 +149,11 @@
 			return s, err
 		}
 	}
+	if f.Fleet != "" {
+		if s.fleet, err = config.LoadFleet(f.Fleet, s.config.Name, s.config.Settings, s.config.Names); err != nil {
+			return s, err
+		}
+	}
 	s.telemetry, err = config.LoadTelemetry(f.Telemetry, getenv)
 	return s, err
 }
@@ -162,10 +170,10 @@
 	defer stop()
 	hangup := make(chan os.Signal, 1) // one that waits stands for any that follow
 	signal.Notify(hangup, syscall.SIGHUP)
-	d := &daemon.Daemon{Config: s.config, Gearman: s.gearman, Telemetry: s.telemetry, Log: r.log, Hangup: hangup,
-		Reread: func() (*config.Config, *config.Gearman, error) {
+	d := &daemon.Daemon{Config: s.config, Gearman: s.gearman, Telemetry: s.telemetry, Fleet: s.fleet, Log: r.log, Hangup: hangup,
+		Reread: func() (daemon.Files, error) {
 			s, err := w.read(r.Getenv, config.Reload)
-			return s.config, s.gearman, err
+			return daemon.Files{Config: s.config, Gearman: s.gearman, Fleet: s.fleet}, err
 		}}
 	return d.Run(ctx)
 }
@@ -218,6 +226,18 @@
 	} else {
 		p("Gearman: off")
 	}
+	if f := s.fleet; f != nil {
+		votes := "is a member"
+		if f.Dir != "" {
+			votes = "votes, with its log in " + f.Dir
+		}
+		p("fleet %s: %s %s; %d voters, leases of %v", f.Ledger.Fleet, c.Name, votes, len(f.Voters), f.Terms.Lease)
+		for _, b := range f.Budgets {
+			p("  budget %s, version %d: %g a second with a burst of %g over all dispatchers", b.Name, f.Version, float64(b.Whole)/1000, float64(b.Burst)/1000)
+		}
+	} else {
+		p("fleet: off")
+	}
 	if t := s.telemetry; t != nil {
 		for signal, e := range t.Endpoints {
 			protocol := "HTTP"
--- /dev/null
+++ b/internal/config/fleet_test.go
@@ -0,0 +1,50 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tinroute.example/tinroute/balance"
+)
+
+func TestFleetFile(t *testing.T) {
+	s := &balance.Settings{Classes: []balance.Class{{Deadline: 5 * time.Second}, {Deadline: 25 * time.Second}}}
+	names := &Names{Tenant: map[string]int{"argane-epargne": 3}}
+	data, err := os.ReadFile("../../deploy/fleet.toml")
+	require.NoError(t, err)
+	text := string(data)
+	f, err := ParseFleet(text, "n0", s, names)
+	require.NoError(t, err)
+	require.Equal(t, 25*time.Second, f.Terms.Linger)
+	require.Equal(t, map[int]TenantBudget{3: {Budget: "argane"}}, f.Tenants)
+	require.EqualValues(t, 21000, f.Budgets[0].Whole)
+	require.EqualValues(t, 3000, f.Budgets[0].Parts["n0"].Floor)
+	require.Empty(t, f.Dir)
+
+	for _, c := range []struct{ old, text, says string }{
+		{`fleet = "agadir-prix"`, ``, "fleet: missing"},
+		{`lease = "2s"`, `lease = "2"`, "lease:"},
+		{`lease = "2s"`, `lease = "50ms"`, "lease: 50ms is under"},
+		{`lease = "2s"`, "linger = \"5s\"", "linger: 5s is under the longest deadline, 25s"},
+		{`lease = "2s"`, "drift = 0.5", "drift: 0.5"},
+		{`members = 16`, `members = 40`, "budget.argane.burst: 32 is under the number of members, 40"},
+		{`members = 16`, `membres = 16`, "membres: unknown key"},
+		{`tenant = "argane-epargne"`, `tenant = "nobody"`, `budget.argane.tenant: no tenant "nobody"`},
+		{`whole = 21.0`, `whole = -1.0`, "budget.argane.whole"},
+		{`raft = "127.0.0.1:7101"`, ``, "voters.n1: raft and ledger"},
+		{`version = 1`, `version = 0`, "version: 0"},
+		{`weight = 2`, `weight = 5000`, "budget.argane.part.n0.weight"},
+		{`version = 1`, "version = 1\nvoter.begin = true", "voter.begin: without voter.dir"},
+		{`version = 1`, "version = 1\nvoter.end = true", "voter.end: unknown key"},
+	} {
+		require.Contains(t, text, c.old)
+		_, err := ParseFleet(strings.Replace(text, c.old, c.text, 1), "n0", s, names)
+		require.ErrorContains(t, err, c.says)
+	}
+	_, err = ParseFleet(strings.Replace(text, "version = 1", "version = 1\nvoter.dir = \"x\"", 1), "n9", s, names)
+	require.ErrorContains(t, err, "voter.dir: n9 is not among the voters")
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"tinroute.example/tinroute/dispatch"
 	"tinroute.example/tinroute/internal/background"
 	"tinroute.example/tinroute/internal/config"
+	"tinroute.example/tinroute/internal/fleet"
 	"tinroute.example/tinroute/internal/gearman"
 	"tinroute.example/tinroute/internal/hand"
 	"tinroute.example/tinroute/internal/handover"
@@ -55,15 +56,24 @@
 	Gearman   *config.Gearman // nil where the second front is off
 	Log       *slog.Logger
 	Hangup    <-chan os.Signal                                                  // each asks for a reload; none where nil
-	Reread    func() (*config.Config, *config.Gearman, error)                   // reads the files again, for a reload
+	Reread    func() (Files, error)                                             // reads the files again, for a reload
 	Wall      func() time.Time                                                  // the system's clock, time.Now where nil
 	Telemetry *config.Telemetry                                                 // nil where it is off
+	Fleet     *config.Fleet                                                     // nil where it belongs to none
 	Dial      func(ctx context.Context, network, addr string) (net.Conn, error) // a net.Dialer's where nil
 	Listen    func(network, addr string) (net.Listener, error)                  // link.Listen where nil
 	Shared    string                                                            // the folder shared with a successor, os.TempDir() where empty
 
 	hand  *hand.Book // workers out by hand, where there is an operators' door
 	cores []*dispatch.Core
+	fleet *fleet.Part
+}
+
+// Files are the settings files that a reload takes up.
+type Files struct {
+	Config  *config.Config
+	Gearman *config.Gearman
+	Fleet   *config.Fleet
 }
 
 // front is one protocol's side, with a core of its own for its own fleet.
@@ -131,6 +141,17 @@
 		keeper.Start()
 		defer keeper.Close()
 	}
+	if d.Fleet != nil { // it is left after the last answer, and before telemetry ends
+		if d.fleet, err = fleet.Start(fleet.Options{File: d.Fleet, Name: d.Config.Name, Log: d.Log.With("part", "fleet"), Listen: d.Listen}); err != nil {
+			return err
+		}
+		defer func() {
+			stop() // the cores admit nothing more
+			if err := d.fleet.Close(); err != nil {
+				d.Log.Warn("fleet", "err", err)
+			}
+		}()
+	}
 	core, err := d.core(inner, "http", d.Config.Hooks, spans, d.Log)
 	if err != nil {
 		return err
@@ -253,6 +274,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.fleet != nil {
+		o.Shares = d.fleet
+	}
 	if hooks != nil {
 		go hooks.Run(ctx)
 		o.Hook, o.Observers = hooks, append(o.Observers, hooks)
@@ -332,15 +356,18 @@
 			return
 		case <-d.Hangup:
 		}
-		c, g, err := d.Reread()
+		f, err := d.Reread()
 		if err != nil {
 			d.Log.Error("not reloaded", "err", err)
 			continue
 		}
-		d.Log.Info("reloaded", "discovery", c.Discovery)
-		table.Move(c.Discovery)
-		if second != nil && g != nil {
-			second.Move(g.Discovery)
+		d.Log.Info("reloaded", "discovery", f.Config.Discovery)
+		table.Move(f.Config.Discovery)
+		if second != nil && f.Gearman != nil {
+			second.Move(f.Gearman.Discovery)
+		}
+		if d.fleet != nil && f.Fleet != nil {
+			d.fleet.Reload(f.Fleet)
 		}
 	}
 }
--- a/internal/daemon/scenario_test.go
+++ b/internal/daemon/scenario_test.go
@@ -336,17 +336,17 @@
 	}
 	d := &Daemon{Config: c, Log: w.log, Dial: w.net.Dial, Listen: w.net.Listen, Hangup: w.hangup}
 	w.wire.prepare(t, w, d)
-	d.Reread = func() (*config.Config, *config.Gearman, error) {
+	d.Reread = func() (Files, error) {
 		if w.reread == "faulty" {
-			return nil, nil, errors.New("discovery: missing")
+			return Files{}, errors.New("discovery: missing")
 		}
 		c := *d.Config
 		if c.Discovery = w.reread; d.Gearman == nil {
-			return &c, nil, nil
+			return Files{Config: &c}, nil
 		}
 		g := *d.Gearman
 		g.Discovery = w.reread
-		return &c, &g, nil
+		return Files{Config: &c, Gearman: &g}, nil
 	}
 	if c.Hooks = hooks; d.Gearman != nil {
 		d.Gearman.Hooks = hooks
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,192 @@
+// Package fleet is a dispatcher's part in a fleet of its like: the voter, where this process is one, and
+// the member, whose shares balance is handed. Absent where no file names a fleet.
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"reflect"
+	"sync"
+	"time"
+
+	"tinroute.example/tinroute/internal/config"
+	"tinroute.example/tinroute/internal/fleet/budget"
+	"tinroute.example/tinroute/internal/fleet/ledger"
+	"tinroute.example/tinroute/internal/fleet/member"
+	"tinroute.example/tinroute/internal/fleet/quorum"
+	"tinroute.example/tinroute/internal/fleet/rpc"
+)
+
+// again is the wait between two tries to begin as a voter: during an upgrade the old process holds the
+// log and the addresses until it ends.
+const again = time.Second
+
+// Options are a part's.
+type Options struct {
+	File   *config.Fleet
+	Name   string
+	Log    *slog.Logger
+	Listen func(network, addr string) (net.Listener, error)
+}
+
+// Part is a running part.
+type Part struct {
+	o      Options
+	member *member.Member
+	rates  map[int]int // by tenant, its place among the member's rates
+	work   map[int]bool
+	stop   chan struct{}
+	ended  sync.WaitGroup
+
+	mu   sync.Mutex // guards file
+	file *config.Fleet
+}
+
+// Start joins the fleet, and votes where the file says so. Neither waits for the other processes.
+func Start(o Options) (*Part, error) {
+	p := &Part{o: o, file: o.File, rates: map[int]int{}, work: map[int]bool{}, stop: make(chan struct{})}
+	m := member.Options{Name: o.Name, Fleet: o.File.Ledger.Fleet, Terms: o.File.Terms, Voters: map[string]string{}, Clock: Clock, Log: o.Log}
+	for name, v := range o.File.Voters {
+		m.Voters[name] = v.Ledger
+	}
+	for tenant, b := range o.File.Tenants {
+		p.rates[tenant], p.work[tenant] = len(m.Rates), b.Work
+		m.Rates = append(m.Rates, b.Budget)
+	}
+	var err error
+	if p.member, err = member.Start(m); err != nil {
+		return nil, err
+	}
+	if o.File.Dir != "" {
+		p.ended.Go(p.vote)
+	}
+	return p, nil
+}
+
+// Reload takes the budgets of a file read again. They are proposed where this process leads, as the
+// version that the file names; all else holds until a restart.
+func (p *Part) Reload(f *config.Fleet) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.file = f
+}
+
+// First asks the tenant's budget for one job of so much work, in seconds. It implements balance.Shares.
+func (p *Part) First(tenant int, work float64) (budgeted, ok bool, wait time.Duration) {
+	i, budgeted := p.rates[tenant]
+	if !budgeted {
+		return false, true, 0
+	}
+	n := int64(budget.Milli)
+	if p.work[tenant] {
+		n = max(1, int64(work*budget.Milli))
+	}
+	ok, wait, never := p.member.Take(i, n)
+	if !ok && never { // nothing is in sight before the next grant
+		wait = p.o.File.Terms.Lease
+	}
+	return true, ok, wait
+}
+
+// vote is a voter for as long as the part runs.
+func (p *Part) vote() {
+	told := ""
+	for {
+		v, s, err := p.begin()
+		if err == nil {
+			p.lead(v)
+			s.Close()
+			if err := v.Close(); err != nil {
+				p.o.Log.Warn("voter not closed", "err", err)
+			}
+			return
+		}
+		if err.Error() != told { // once for each cause
+			told = err.Error()
+			p.o.Log.Error("cannot vote", "err", err)
+		}
+		select {
+		case <-p.stop:
+			return
+		case <-time.After(again):
+		}
+	}
+}
+
+func (p *Part) begin() (*quorum.Voter, *rpc.Server, error) {
+	f, addrs := p.o.File, map[string]string{}
+	for name, v := range f.Voters {
+		addrs[name] = v.Raft
+	}
+	l, err := p.o.Listen("tcp", f.Voters[p.o.Name].Ledger)
+	if err != nil {
+		return nil, nil, fmt.Errorf("listen: %w", err)
+	}
+	v, err := quorum.Start(quorum.Options{Name: p.o.Name, Voters: addrs, Dir: f.Dir, Begin: f.Begin, Fleet: f.Ledger, Terms: f.Terms,
+		Pace: f.Pace, Clock: Clock, Log: p.o.Log})
+	if err != nil {
+		_ = l.Close()
+		return nil, nil, err
+	}
+	return v, rpc.Serve(l, v, f.Ledger.MostMembers), nil
+}
+
+// lead proposes the file's budgets while this voter leads, until the part ends.
+func (p *Part) lead(v *quorum.Voter) {
+	tick := time.NewTicker(p.o.File.Terms.Lease / 4)
+	defer tick.Stop()
+	told := ""
+	for {
+		select {
+		case <-p.stop:
+			return
+		case <-tick.C:
+		}
+		if v.Leader() != p.o.Name {
+			continue
+		}
+		p.mu.Lock()
+		set := ledger.Set{Version: p.file.Version, Budgets: p.file.Budgets}
+		p.mu.Unlock()
+		var have ledger.Overview
+		v.Look(func(s *ledger.State) { have = s.Overview() })
+		if set.Version <= have.Version {
+			if set.Version == have.Version && !same(set.Budgets, have.Budgets) && told != "differs" {
+				told = "differs"
+				p.o.Log.Warn("the file's budgets differ from those in force under the same version", "version", set.Version)
+			}
+			continue
+		}
+		switch _, err := v.Apply(ledger.Command{Fleet: p.o.File.Ledger.Fleet, Set: &set}); {
+		case err == nil:
+			told = ""
+			p.o.Log.Info("budgets in force", "version", set.Version)
+		case !errors.Is(err, quorum.ErrNotLeader) && !errors.Is(err, quorum.ErrUnsure) && told != err.Error():
+			told = err.Error()
+			p.o.Log.Error("budgets not taken up", "version", set.Version, "in force", have.Version, "err", err)
+		}
+	}
+}
+
+// same tells whether a file's budgets, in the order of their names, are those in force.
+func same(file []ledger.Budget, have []ledger.BudgetOverview) bool {
+	if len(file) != len(have) {
+		return false
+	}
+	for i := range file {
+		if !reflect.DeepEqual(file[i], have[i].Budget) {
+			return false
+		}
+	}
+	return true
+}
+
+// Close leaves the fleet; the voter ends last, since the leave may be written by it.
+func (p *Part) Close() error {
+	err := p.member.Close()
+	close(p.stop)
+	p.ended.Wait()
+	return err
+}
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -384,7 +384,7 @@
 }
 
 func (s *State) set(c Set) error {
-	if c.Version != s.version+1 {
+	if c.Version != s.version+1 && (s.version > 0 || c.Version == 0) { // the first may have any number
 		return fmt.Errorf("%w: %d, %d is the last", ErrVersion, c.Version, s.version)
 	}
 	budgets := slices.Clone(c.Budgets)
@@ -432,11 +432,11 @@
 
 // Holder is one member's place in a budget, for those who look.
 type Holder struct {
-	Name        string
-	Incarnation uint64
-	Lapsed      bool
-	Granted     int64
-	Demand      int64
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+	Lapsed      bool   `json:"lapsed,omitempty"`
+	Granted     int64  `json:"granted"`
+	Demand      int64  `json:"demand"`
 }
 
 // Holders lists a budget's holders by incarnation, and the whole; nil where there is no such budget.
--- a/internal/fleet/quorum/quorum.go
+++ b/internal/fleet/quorum/quorum.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	boltdb "github.com/hashicorp/raft-boltdb/v2"
+	"go.etcd.io/bbolt"
 
 	"tinroute.example/tinroute/internal/fleet/ledger"
 )
@@ -50,8 +51,19 @@
 	conns     = 3
 	// applyWait bounds a command's way to a majority.
 	applyWait = 5 * time.Second
+	lockWait  = time.Second // for the log's file
 )
 
+// addresses is where this process reaches each voter.
+type addresses map[string]string
+
+func (a addresses) ServerAddr(id raft.ServerID) (raft.ServerAddress, error) {
+	if addr := a[string(id)]; addr != "" {
+		return raft.ServerAddress(addr), nil
+	}
+	return "", fmt.Errorf("quorum: no address of voter %q", id)
+}
+
 // Voter is one of a fleet's voters.
 type Voter struct {
 	o      Options
@@ -89,14 +101,17 @@
 			v = nil
 		}
 	}()
-	if v.store, err = boltdb.NewBoltStore(filepath.Join(o.Dir, "log.db")); err != nil {
+	// Another process may hold the log, as in an upgrade: that is an error here, not a wait without end.
+	if v.store, err = boltdb.New(boltdb.Options{Path: filepath.Join(o.Dir, "log.db"), BoltOptions: &bbolt.Options{Timeout: lockWait}}); err != nil {
 		return v, fmt.Errorf("quorum: %s: %w", o.Dir, err)
 	}
 	snaps, err := raft.NewFileSnapshotStore(o.Dir, snapshots, io.Discard)
 	if err != nil {
 		return v, err
 	}
-	if v.trans, err = raft.NewTCPTransport(o.Voters[o.Name], nil, conns, applyWait, io.Discard); err != nil {
+	// The replicated list names voters by their ids alone; where each is reached is this process's own map.
+	if v.trans, err = raft.NewTCPTransportWithConfig(o.Voters[o.Name], nil, &raft.NetworkTransportConfig{
+		MaxPool: conns, Timeout: applyWait, Logger: c.Logger, ServerAddressProvider: addresses(o.Voters)}); err != nil {
 		return v, err
 	}
 	had, err := raft.HasExistingState(v.store, v.store, snaps)
@@ -108,8 +123,8 @@
 	}
 	if !had { // every voter begins with the same list; those that come late are told
 		var servers []raft.Server
-		for name, addr := range o.Voters {
-			servers = append(servers, raft.Server{ID: raft.ServerID(name), Address: raft.ServerAddress(addr)})
+		for name := range o.Voters {
+			servers = append(servers, raft.Server{ID: raft.ServerID(name), Address: raft.ServerAddress(name)})
 		}
 		slices.SortFunc(servers, func(a, b raft.Server) int {
 			if a.ID < b.ID {
--- /dev/null
+++ b/internal/lab/rig/history.go
@@ -0,0 +1,136 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Event is one fact: what the rig did to a process or link, what a client or a node saw, or what a voter
+// said is granted. At counts from the rig's start, by one clock for all.
+type Event struct {
+	At     time.Duration `json:"at"`
+	What   string        `json:"what"`          // sent, answered, arrived, granted, or the name of a fault
+	Who    string        `json:"who,omitempty"` // the dispatcher, node or link
+	ID     string        `json:"id,omitempty"`  // of a request
+	Status int           `json:"status,omitempty"`
+	Amount int64         `json:"amount,omitempty"` // granted: the sum over all holders, thousandths
+	Whole  int64         `json:"whole,omitempty"`
+	Note   string        `json:"note,omitempty"`
+}
+
+// History is what happened, in the order in which it was written down.
+type History struct {
+	began  time.Time
+	mu     sync.Mutex
+	events []Event
+}
+
+func newHistory() *History { return &History{began: time.Now()} }
+
+func (h *History) add(e Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e.At = time.Since(h.began)
+	h.events = append(h.events, e)
+}
+
+// Events is a copy of the history so far.
+func (h *History) Events() []Event {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.events)
+}
+
+// Write writes the history as JSON lines.
+func (h *History) Write(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	for _, e := range h.Events() {
+		if err := enc.Encode(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Limit is a budget as the nodes have to find it kept.
+type Limit struct {
+	Rate  float64 // a second
+	Burst float64
+	From  time.Duration // in force from here on: windows before are not judged
+}
+
+// Over finds a window in which more was admitted than the limit allows. A request that reached a node
+// was admitted after its client sent it and before it arrived, so those sent at or after a and arrived
+// at or before b were admitted between the two, however slow the machine was: a window is judged by
+// these alone, and no other is needed for a verdict that is never wrong. It returns the number of
+// requests that reached nodes too.
+func Over(events []Event, l Limit) (arrived int, err error) {
+	sent := map[string]time.Duration{}
+	type admission struct{ from, to time.Duration }
+	var all []admission
+	first := map[string]bool{}
+	for _, e := range events {
+		switch e.What {
+		case "sent":
+			sent[e.ID] = e.At
+		case "arrived": // the first attempt only: repeats are other budgets' matter
+			if from, ok := sent[e.ID]; ok && !first[e.ID] {
+				first[e.ID] = true
+				arrived++
+				if from >= l.From {
+					all = append(all, admission{from, e.At})
+				}
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b admission) int { return int(a.to - b.to) })
+	for _, start := range all {
+		n := 0.0
+		for _, x := range all {
+			if x.from < start.from {
+				continue
+			}
+			n++
+			if allowed := l.Rate*(x.to-start.from).Seconds() + l.Burst; n > allowed+1e-6 {
+				return arrived, fmt.Errorf("%g requests admitted from %v to %v, %.2f allowed", n, start.from, x.to, allowed)
+			}
+		}
+	}
+	return arrived, nil
+}
+
+// Answers finds a request that was answered twice, or as served without a node's result.
+func Answers(events []Event) error {
+	answered, ran := map[string]bool{}, map[string]bool{}
+	for _, e := range events {
+		switch e.What {
+		case "arrived":
+			ran[e.ID] = true
+		case "answered":
+			if answered[e.ID] {
+				return fmt.Errorf("%s answered twice", e.ID)
+			}
+			answered[e.ID] = true
+			if e.Status == 200 && (!ran[e.ID] || e.Note != result(e.ID)) {
+				return fmt.Errorf("%s served with %q", e.ID, e.Note)
+			}
+		}
+	}
+	return nil
+}
+
+// Granted finds a look at a voter that saw more granted than there is.
+func Granted(events []Event) error {
+	for _, e := range events {
+		if e.What == "granted" && e.Amount > e.Whole {
+			return fmt.Errorf("%v: %d granted of %d, by %s", e.At, e.Amount, e.Whole, e.Who)
+		}
+	}
+	return nil
+}
+
+func result(id string) string { return "r-" + id }
--- /dev/null
+++ b/internal/lab/rig/history_test.go
@@ -0,0 +1,45 @@
+package rig
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// admitted is the history of requests that are sent and arrive after so many milliseconds each.
+func admitted(pairs ...[2]int) (events []Event) {
+	for i, p := range pairs {
+		id := fmt.Sprint(i)
+		events = append(events, Event{At: time.Duration(p[0]) * time.Millisecond, What: "sent", ID: id},
+			Event{At: time.Duration(p[1]) * time.Millisecond, What: "arrived", ID: id})
+	}
+	return events
+}
+
+func TestOver(t *testing.T) {
+	l := Limit{Rate: 10, Burst: 2}
+	_, err := Over(admitted([2]int{0, 1}, [2]int{0, 2}, [2]int{0, 3}), l)
+	require.ErrorContains(t, err, "3 requests admitted", "three at once where two may be")
+	n, err := Over(admitted([2]int{0, 1}, [2]int{0, 2}, [2]int{0, 103}), l)
+	require.NoError(t, err)
+	require.Equal(t, 3, n)
+	// Three arrive at one instant on a machine that stood still, but may have been admitted far apart.
+	_, err = Over(admitted([2]int{0, 900}, [2]int{300, 900}, [2]int{600, 900}), l)
+	require.NoError(t, err)
+	_, err = Over(append(admitted([2]int{0, 1}, [2]int{0, 2}), admitted([2]int{0, 1}, [2]int{0, 2})...), l)
+	require.NoError(t, err, "a request that reaches a second node is one request")
+	l.From = time.Millisecond
+	_, err = Over(admitted([2]int{0, 1}, [2]int{0, 2}, [2]int{0, 3}), l)
+	require.NoError(t, err, "before the limit is in force")
+}
+
+func TestOtherCheckers(t *testing.T) {
+	require.Error(t, Answers([]Event{{What: "answered", ID: "a", Status: 200, Note: "r-a"}}), "served though no node ran it")
+	require.Error(t, Answers([]Event{{What: "answered", ID: "a", Status: 503}, {What: "answered", ID: "a", Status: 503}}))
+	require.Error(t, Answers([]Event{{What: "arrived", ID: "a"}, {What: "answered", ID: "a", Status: 200, Note: "r-b"}}))
+	require.NoError(t, Answers([]Event{{What: "arrived", ID: "a"}, {What: "answered", ID: "a", Status: 200, Note: "r-a"}}))
+	require.Error(t, Granted([]Event{{What: "granted", Amount: 11, Whole: 10}}))
+	require.NoError(t, Granted([]Event{{What: "granted", Amount: 10, Whole: 10}}))
+}
