Fleet rehearsals: schedules of faults drawn from a seed over many processes; raft without pipeline

What: tinroute fleet rehearse (internal/lab/rig/rehearse.go): kills, SIGTERM, stops, upgrades, cuts one way and both, delays, trickles, refusals, a lost folder, demand that moves, wholes set anew; judged as the tests are. Seen on the way: schedule 5 never ended. The old process of an upgrade had drained and hung in the voter's end; its stacks (SIGQUIT) showed raft's replication waiting in netPipeline.AppendEntries for 20 minutes, after a link that had been slow, so Shutdown waited for it without end; a running leader would have gone on without that follower. Ruled out: the member's leave and the log's lock (neither in the stacks). The transport now has no pipeline (MaxRPCsInFlight 1), calls time out after two paces, and a voter's end waits 1 s at most.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -1,26 +1,36 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"maps"
+	"os"
+	"os/signal"
+	"path/filepath"
 	"slices"
+	"sync"
+	"syscall"
 	"text/tabwriter"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"tinroute.example/tinroute/internal/config"
 	"tinroute.example/tinroute/internal/fleet/ledger"
 	"tinroute.example/tinroute/internal/fleet/rpc"
+	"tinroute.example/tinroute/internal/lab/rig"
 )
 
 // lookWithin bounds how long one voter is waited for.
 const lookWithin = time.Second
 
 type fleetWord struct {
-	Status fleetStatus `cmd:"" help:"Tell who leads, and each budget with its holders, as each voter knows it."`
+	Status   fleetStatus   `cmd:"" help:"Tell who leads, and each budget with its holders, as each voter knows it."`
+	Rehearse fleetRehearse `cmd:"" help:"Start fleets of this program on loopback, put faults between the processes, and judge what reached the nodes."`
 }
 
 type fleetStatus struct {
@@ -107,3 +117,77 @@
 	}
 	_ = w.Flush()
 }
+
+type fleetRehearse struct {
+	Processes int           `default:"20" help:"Dispatchers of each fleet."`
+	Voters    int           `default:"5" help:"Of them, those that vote."`
+	Schedules int           `default:"10" help:"How many schedules of faults are played, one seed each."`
+	Seed      uint64        `default:"1" help:"The first seed."`
+	Length    time.Duration `default:"8s" help:"The time in which faults begin."`
+	Within    time.Duration `default:"1m" help:"The time in which a fleet has to be whole again."`
+	Lease     time.Duration `default:"1s" help:"Of the fleet's shares."`
+	At        int           `default:"1" help:"Fleets at once."`
+	Out       string        `help:"Outcomes, a JSON line each." default:"rehearsals.jsonl" placeholder:"FILE"`
+	Keep      bool          `help:"Keep every fleet's logs and history, not only those of broken rules."`
+}
+
+var errRule = errors.New("a rule was broken")
+
+// Run plays the schedules and sums them up. It fails where a rule was broken, and keeps that fleet's files.
+func (w *fleetRehearse) Run(r *run) error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if w.Voters < 1 || w.Voters > w.Processes || w.At < 1 {
+		return fmt.Errorf("--voters %d, --processes %d, --at %d make no fleet", w.Voters, w.Processes, w.At)
+	}
+	out, err := os.OpenFile(w.Out, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(w.At)
+	for i := range w.Schedules {
+		group.Go(func() error {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			dir, err := os.MkdirTemp("", "tinroute-rehearsal-")
+			if err != nil {
+				return err
+			}
+			o, history, err := rig.Rehearse(ctx, rig.Plan{Options: rig.Options{Dir: dir, Program: []string{program, "serve"}, Voters: w.Voters, Members: w.Processes,
+				Room: 2 * w.Processes, Nodes: 4, Lease: w.Lease, Whole: 100, Burst: float64(2*w.Processes + 10), Floor: 1, Work: 10 * time.Millisecond},
+				Seed: w.Seed + uint64(i), Length: w.Length, Within: w.Within})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				o.Broken = "rig: " + err.Error()
+			}
+			fmt.Fprintf(r.Out, "seed %d: %s; %d sent, %d reached nodes, %.2f of the whole used, whole again after %.1f leases\n", o.Seed,
+				cmp.Or(o.Broken, "kept"), o.Sent, o.Reached, o.Used, o.Recovered)
+			if o.Broken != "" || w.Keep {
+				fmt.Fprintf(r.Out, "  kept in %s\n", dir)
+				if f, err := os.Create(filepath.Join(dir, "history.jsonl")); err == nil && history != nil {
+					_ = history.Write(f)
+					_ = f.Close()
+				}
+			} else {
+				_ = os.RemoveAll(dir)
+			}
+			if err := json.NewEncoder(out).Encode(o); err != nil {
+				return err
+			}
+			if o.Broken != "" {
+				return errRule
+			}
+			return nil
+		})
+	}
+	return group.Wait()
+}
--- a/internal/fleet/quorum/quorum.go
+++ b/internal/fleet/quorum/quorum.go
@@ -52,6 +52,8 @@
 	// applyWait bounds a command's way to a majority.
 	applyWait = 5 * time.Second
 	lockWait  = time.Second // for the log's file
+	// closeWait bounds the library's end: what it has written is on disk already.
+	closeWait = time.Second
 )
 
 // addresses is where this process reaches each voter.
@@ -111,7 +113,10 @@
 	}
 	// The replicated list names voters by their ids alone; where each is reached is this process's own map.
 	if v.trans, err = raft.NewTCPTransportWithConfig(o.Voters[o.Name], nil, &raft.NetworkTransportConfig{
-		MaxPool: conns, Timeout: applyWait, Logger: c.Logger, ServerAddressProvider: addresses(o.Voters)}); err != nil {
+		MaxPool: conns, Timeout: 2 * o.Pace, Logger: c.Logger, ServerAddressProvider: addresses(o.Voters),
+		// No pipeline: over a link that had been slow its sender and its reader were seen to wait for each
+		// other for ever, and with them the voter's end.
+		MaxRPCsInFlight: 1}); err != nil {
 		return v, err
 	}
 	had, err := raft.HasExistingState(v.store, v.store, snaps)
@@ -216,7 +221,13 @@
 	close(v.stop)
 	var errs []error
 	if v.raft != nil {
-		errs = append(errs, v.raft.Shutdown().Error())
+		ended := make(chan error, 1)
+		go func() { ended <- v.raft.Shutdown().Error() }()
+		select {
+		case err := <-ended:
+			errs = append(errs, err)
+		case <-time.After(closeWait):
+		}
 	}
 	v.keeper.Wait()
 	if v.trans != nil {
