Fleet holder: a floor kept for a lapsed incarnation is not claimed by the next one too

The lapsed incarnation's floor stays granted until its release, and the member's first ask as a new one reported the same floor as held (holder.go Answered kept the rates' grants), so it was granted under both. Ruled out: that more was admitted; no node saw a window over the whole, since both were one process's. What is lost is the room of one floor. On ErrLapsed rates now give up what is left of their grants; pieces held still count.

--- a/cmd/tinroute/fleet_test.go
+++ b/cmd/tinroute/fleet_test.go
@@ -148,6 +148,10 @@
 			for _, p := range r.Processes() {
 				p.Cut(rig.Way{}, rig.Way{})
 			}
+			// What slow links left half done must not keep a voter from ending.
+			leader, _ := leads(t, ctx, r)
+			require.NoError(t, leader.Signal(syscall.SIGTERM))
+			begin(t, ctx, leader)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/fleet/budget/holder.go
+++ b/internal/fleet/budget/holder.go
@@ -85,9 +85,14 @@
 		}
 		return
 	case errors.Is(err, ledger.ErrLapsed) && a.Incarnation == h.incarnation:
-		// What is still held goes on counting where it was granted, and in the next asks too.
+		// Pieces still held go on counting where they were granted, and in the next asks too. A rate's floor
+		// is kept under the old incarnation until its release: claimed by the new one too, it would be
+		// granted twice.
 		h.incarnation, h.seq = 0, 0
 		h.nonce++
+		for _, r := range h.rates {
+			r.Set(now, Grant{})
+		}
 		return
 	case err != nil || a.Incarnation != h.incarnation || a.Seq != h.seq:
 		return
