Fleet budget of repeats and second copies, asked by balance before each

A budget that counts repeats in the fleet's file; the rig fails every other job and counts repeats at the nodes.

--- a/balance/api.go
+++ b/balance/api.go
@@ -213,9 +213,13 @@
 // Shares are what a fleet's budgets leave to this dispatcher, where it belongs to a fleet that divides
 // them. First is asked once for each new job, from inside Request, with its expected work in seconds,
 // and must not block: budgeted is false where no budget is the tenant's, and wait is in how long it
-// would be admitted.
+// would be admitted. Again is asked before each attempt that may do a job's work once more, one after an
+// attempt that may have run or beside one that is out: true takes it from the budget. Sent is told of each
+// job's first attempt.
 type Shares interface {
 	First(tenant int, work float64) (budgeted, ok bool, wait time.Duration)
+	Again() bool
+	Sent()
 }
 
 // Everyone stands for all other dispatchers in Host.Tell.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -306,10 +306,12 @@
 
 // again decides what follows a failed attempt when no other is out.
 func (b *Balancer) again(j *job) {
-	if j.stream || !b.maySend(j) {
+	ran := j.firstRan() != nil // what surely never ran does no work twice
+	if j.stream || !b.maySend(j) || ran && !j.paid && b.shares != nil && !b.shares.Again() {
 		b.answer(j)
 		return
 	}
+	j.paid = false
 	b.enqueue(j)
 }
 
@@ -584,6 +586,9 @@
 	if j.out == 1 {
 		b.running = append(b.running, j)
 	}
+	if len(j.attempts) == 1 && j.earlier == nil && b.shares != nil {
+		b.shares.Sent()
+	}
 	b.host.Send(j.ID, w.ID, 0)
 	b.mark(w)
 }
@@ -718,14 +723,17 @@
 	case j.c.Effect == Unsafe: // its place in the queue is all it can have
 	case j.c.Effect == Safe && b.s.SecondCopies:
 		b.stuckJobs-- // it waits already
-		if w := b.pick(j, false); w != nil {
+		if w := b.pick(j, false); w != nil && b.mayCopy() {
 			b.send(j, w)
-			if w := b.pick(j, false); w != nil && b.crowd {
+			if w := b.pick(j, false); w != nil && b.crowd && b.mayCopy() {
 				b.send(j, w)
 			}
 		}
 	case (j.c.Effect == Safe || b.now < a.sent+j.c.Span/2) && b.otherRoom(j, a.w):
-		b.cancel(j, a)
+		if !a.cancelled && b.mayCopy() {
+			j.paid = true
+			b.cancel(j, a)
+		}
 	}
 }
 
@@ -770,6 +778,9 @@
 	if late == nil || len(b.queue) > 0 && 2*overdue > len(b.running) {
 		return false
 	}
+	if !b.mayCopy() {
+		return false
+	}
 	b.send(late, to)
 	return true
 }
--- a/balance/shares_test.go
+++ b/balance/shares_test.go
@@ -11,6 +11,17 @@
 type purse struct {
 	left  int
 	asked []float64
+	again int // repeats and copies that are left
+	wants int
+	sent  int
+}
+
+func (p *purse) Sent() { p.sent++ }
+
+func (p *purse) Again() bool {
+	p.wants++
+	p.again--
+	return p.again >= 0
 }
 
 func (p *purse) First(tenant int, work float64) (bool, bool, time.Duration) {
@@ -47,3 +58,45 @@
 	require.Equal(t, 1, r.sentTo(4))
 	require.Len(t, p.asked, 2)
 }
+
+// An attempt after one that may have run is asked for, and without it the job is answered at once; one
+// after an attempt that surely never ran is not asked for.
+func TestRepeatsAreAskedFor(t *testing.T) {
+	b, r := fixture(t, settings(), 4)
+	p := &purse{again: 1}
+	b.Budgets(p)
+	now := 10 * time.Second
+	fail := func(st Status) {
+		now += 10 * ms
+		end(b, now, r.last(), st)
+	}
+	b.Request(now, Job{ID: 1, Class: safe, Tenant: -1, Patience: 8 * time.Second, Hint: 20 * ms, Slots: 1})
+	require.Equal(t, 1, p.sent)
+	fail(StatusFull)
+	require.Equal(t, 2, r.sentTo(1))
+	require.Zero(t, p.wants, "it never ran")
+	fail(StatusError)
+	require.Equal(t, 3, r.sentTo(1))
+	require.Equal(t, 1, p.wants)
+	require.Empty(t, r.answers[1])
+	fail(StatusError)
+	require.Equal(t, 3, r.sentTo(1))
+	require.Equal(t, "refused", r.answers[1], "at once, since a repeat by the client is harmless")
+	require.Equal(t, 1, p.sent, "one first try")
+}
+
+// A second copy is asked for, and after a no not again at every step.
+func TestCopiesAreAskedFor(t *testing.T) {
+	for _, again := range []int{0, 1} {
+		b, r := overdueFixture(t, settings())
+		p := &purse{again: again}
+		b.Budgets(p)
+		for step := range 400 {
+			b.now = 3*time.Second + time.Duration(step)*ms
+			b.schedule()
+		}
+		require.Equal(t, 1+again, r.sentTo(1))
+		require.Positive(t, p.wants)
+		require.Less(t, p.wants, 100)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -106,6 +106,7 @@
 	stream   bool
 	hold     time.Duration // not sent blindly before
 	unfit    bool          // no job that any worker could serve
+	paid     bool          // the budget of repeats has been asked for the next attempt
 	earlier  *attempt      // from before the Request; see Job.Earlier
 }
 
@@ -146,7 +147,8 @@
 type Balancer struct {
 	s             Settings
 	host          Host
-	shares        Shares // nil without a fleet's budgets
+	shares        Shares        // nil without a fleet's budgets
+	copiesDenied  time.Duration // until then no copy is asked for
 	rng           *rand.Rand
 	now           time.Duration
 	since         time.Duration // its first list came
@@ -274,6 +276,22 @@
 // Budgets has new jobs admitted by a fleet's budgets from now on.
 func (b *Balancer) Budgets(s Shares) { b.shares = s }
 
+// mayCopy asks the fleet's budget for a second copy. Copies are wanted at every step for as long as their
+// job is late, so after a no none is asked for a while.
+func (b *Balancer) mayCopy() bool {
+	if b.shares == nil {
+		return true
+	}
+	if b.now < b.copiesDenied {
+		return false
+	}
+	if !b.shares.Again() {
+		b.copiesDenied = b.now + seconds(b.meanRun()/4)
+		return false
+	}
+	return true
+}
+
 func (s *Settings) check() error {
 	switch {
 	case len(s.Classes) == 0:
--- a/cmd/tinroute/fleet_test.go
+++ b/cmd/tinroute/fleet_test.go
@@ -243,3 +243,36 @@
 	require.NoError(t, err)
 	judge(t, ctx, r, 40)
 }
+
+// Every other job fails at its node after it ran: repeats and copies stay within the fleet's budget of them, as the
+// nodes count it, while the leader is killed and a member with a share is cut off and goes on.
+func TestFleetRepeats(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	limit := rig.RepeatLimit{Rate: 5, Burst: 7, Share: 0.1, Saved: 1}
+	r := newFleet(t, ctx, rig.Options{Voters: 3, Members: 4, Lease: time.Second, Repeats: &limit})
+	d := r.Processes()
+	for _, p := range d {
+		defer r.Load(p, 25*time.Millisecond)()
+	}
+	_, err := r.Until(ctx, rig.Divided("d0", "d1", "d2", "d3"))
+	require.NoError(t, err)
+	r.Fail(true)
+	d[3].Cut(rig.Way{Silent: true}, rig.Way{Silent: true})
+	o, err := r.Until(ctx, rig.Divided("d0", "d1", "d2"))
+	require.NoError(t, err)
+	leader := d[slices.IndexFunc(d, func(p *rig.Process) bool { return p.Name == o.Leader })]
+	require.NoError(t, leader.Signal(syscall.SIGKILL))
+	d[3].Cut(rig.Way{}, rig.Way{})
+	require.NoError(t, leader.Settings(1, 40, false))
+	begin(t, ctx, leader)
+	_, err = r.Until(ctx, rig.Divided("d0", "d1", "d2", "d3"))
+	require.NoError(t, err)
+	require.NoError(t, r.Reached(ctx, 300))
+	judge(t, ctx, r, 40)
+	repeats, err := rig.Repeats(r.History.Events(), limit, 5) // the killed one counts twice
+	require.NoError(t, err)
+	require.Greater(t, repeats, 10, "the budget is there to be used")
+	t.Logf("%d repeats", repeats)
+}
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -36,8 +36,19 @@
 	Version uint64           // of the budgets
 	Budgets []ledger.Budget
 	Tenants map[int]TenantBudget // by tenant
+	Repeats *RepeatBudget        // nil where repeats and second copies have no budget
 }
 
+// RepeatBudget bounds attempts that may do a job's work once more.
+type RepeatBudget struct {
+	Budget string
+	Share  int64 // thousandths of a repeat that each first try allows beside the budget
+	Saved  int64 // the most of these saved up at one dispatcher, in thousandths
+}
+
+// defaultSaved is how many repeats a dispatcher may have saved up by its first tries.
+const defaultSaved = 10
+
 // Voter is where a voter is reached.
 type Voter struct {
 	Raft   string `toml:"raft"`   // by the other voters
@@ -91,6 +102,8 @@
 			Whole  float64         `toml:"whole"`
 			Burst  float64         `toml:"burst"`
 			Lend   bool            `toml:"lend"`
+			Share  float64         `toml:"share"`
+			Saved  *float64        `toml:"saved"`
 			Part   map[string]part `toml:"part"`
 		} `toml:"budget"`
 	}
@@ -160,6 +173,25 @@
 			b.Parts[who] = ledger.Part{Weight: p.Weight, Floor: milli(k+".floor", p.Floor), Ceiling: milli(k+".ceiling", p.Ceiling)}
 		}
 		f.Budgets = append(f.Budgets, b)
+		if in.Counts == "repeats" {
+			r := &RepeatBudget{Budget: name, Share: milli(key+".share", in.Share), Saved: defaultSaved * 1000}
+			if in.Saved != nil {
+				r.Saved = milli(key+".saved", *in.Saved)
+			}
+			switch {
+			case in.Tenant != "":
+				c.fail("%s.tenant: a budget of repeats is no tenant's", key)
+			case f.Repeats != nil:
+				c.fail("%s.counts: %s counts repeats already", key, f.Repeats.Budget)
+			case r.Share > 1000:
+				c.fail("%s.share: %v is not from 0 to 1", key, in.Share)
+			}
+			f.Repeats = r
+			continue
+		}
+		if in.Share != 0 || in.Saved != nil {
+			c.fail("%s: share and saved are of budgets that count repeats", key)
+		}
 		tenant, ok := names.Tenant[in.Tenant]
 		if !ok {
 			c.fail("%s.tenant: no tenant %q", key, in.Tenant)
@@ -169,7 +201,7 @@
 			c.fail("%s.tenant: %s has the budget %s", key, in.Tenant, had.Budget)
 		}
 		if in.Counts != "" && in.Counts != "jobs" && in.Counts != "work" {
-			c.fail("%s.counts: %q is neither jobs nor work", key, in.Counts)
+			c.fail("%s.counts: %q is none of jobs, work, repeats", key, in.Counts)
 		}
 		f.Tenants[tenant] = TenantBudget{name, in.Counts == "work"}
 	}
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -24,6 +24,10 @@
 	require.EqualValues(t, 21000, f.Budgets[0].Whole)
 	require.EqualValues(t, 3000, f.Budgets[0].Parts["n0"].Floor)
 	require.Empty(t, f.Dir)
+	require.Nil(t, f.Repeats)
+	again, err := ParseFleet(text+"[budget.again]\ncounts = \"repeats\"\nwhole = 5\nburst = 16\nshare = 0.25\n", "n0", s, names)
+	require.NoError(t, err)
+	require.Equal(t, &RepeatBudget{Budget: "again", Share: 250, Saved: 10_000}, again.Repeats)
 
 	for _, c := range []struct{ old, text, says string }{
 		{`fleet = "agadir-prix"`, ``, "fleet: missing"},
@@ -38,6 +42,10 @@
 		{`raft = "127.0.0.1:7101"`, ``, "voters.n1: raft and ledger"},
 		{`version = 1`, `version = 0`, "version: 0"},
 		{`weight = 2`, `weight = 5000`, "budget.argane.part.n0.weight"},
+		{`tenant = "argane-epargne"`, "tenant = \"argane-epargne\"\nshare = 0.5", "budget.argane: share and saved"},
+		{`tenant = "argane-epargne"`, "counts = \"repeats\"\ntenant = \"argane-epargne\"", "budget.argane.tenant: a budget of repeats"},
+		{`tenant = "argane-epargne"`, "counts = \"repeats\"\nshare = 1.5", "budget.argane.share: 1.5"},
+		{`tenant = "argane-epargne"`, "counts = \"tries\"\ntenant = \"argane-epargne\"", "is none of jobs, work, repeats"},
 		{`version = 1`, "version = 1\nvoter.begin = true", "voter.begin: without voter.dir"},
 		{`version = 1`, "version = 1\nvoter.end = true", "voter.end: unknown key"},
 	} {
--- a/internal/fleet/budget/budget.go
+++ b/internal/fleet/budget/budget.go
@@ -132,6 +132,26 @@
 	return r.demand
 }
 
+// Ratio is a budget by count: each unit earned allows a part of another kind's, as repeats by first tries.
+// It needs no ledger: what every dispatcher keeps within its part, all together do.
+type Ratio struct {
+	Part  int64 // thousandths that one unit earns
+	Most  int64 // the most saved up, in Milli
+	saved int64
+}
+
+// Earn counts one unit.
+func (r *Ratio) Earn() { r.saved = min(r.saved+r.Part, r.Most) }
+
+// Take admits one.
+func (r *Ratio) Take() bool {
+	if r.saved < Milli {
+		return false
+	}
+	r.saved -= Milli
+	return true
+}
+
 // Held is a budget of what is held at once, in whole pieces.
 type Held struct {
 	grant Grant
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,16 +37,18 @@
 	member *member.Member
 	rates  map[int]int // by tenant, its place among the member's rates
 	work   map[int]bool
+	again  int // the budget of repeats' place among the member's rates, -1 where there is none
 	stop   chan struct{}
 	ended  sync.WaitGroup
 
-	mu   sync.Mutex // guards file
-	file *config.Fleet
+	mu    sync.Mutex // guards what follows
+	file  *config.Fleet
+	ratio budget.Ratio // of repeats to first tries
 }
 
 // Start joins the fleet, and votes where the file says so. Neither waits for the other processes.
 func Start(o Options) (*Part, error) {
-	p := &Part{o: o, file: o.File, rates: map[int]int{}, work: map[int]bool{}, stop: make(chan struct{})}
+	p := &Part{o: o, file: o.File, rates: map[int]int{}, work: map[int]bool{}, again: -1, stop: make(chan struct{})}
 	m := member.Options{Name: o.Name, Fleet: o.File.Ledger.Fleet, Terms: o.File.Terms, Voters: map[string]string{}, Clock: Clock, Log: o.Log}
 	for name, v := range o.File.Voters {
 		m.Voters[name] = v.Ledger
@@ -55,6 +57,10 @@
 		p.rates[tenant], p.work[tenant] = len(m.Rates), b.Work
 		m.Rates = append(m.Rates, b.Budget)
 	}
+	if r := o.File.Repeats; r != nil {
+		p.again, p.ratio = len(m.Rates), budget.Ratio{Part: r.Share, Most: r.Saved}
+		m.Rates = append(m.Rates, r.Budget)
+	}
 	var err error
 	if p.member, err = member.Start(m); err != nil {
 		return nil, err
@@ -90,6 +96,30 @@
 	return true, ok, wait
 }
 
+// Sent counts a first try. It implements balance.Shares.
+func (p *Part) Sent() {
+	if p.again >= 0 {
+		p.mu.Lock()
+		p.ratio.Earn()
+		p.mu.Unlock()
+	}
+}
+
+// Again asks for one repeat or second copy: what first tries here have earned goes before the fleet's
+// budget, which others may need. It implements balance.Shares.
+func (p *Part) Again() bool {
+	if p.again < 0 {
+		return true
+	}
+	p.mu.Lock()
+	ok := p.ratio.Take()
+	p.mu.Unlock()
+	if !ok {
+		ok, _, _ = p.member.Take(p.again, budget.Milli)
+	}
+	return ok
+}
+
 // vote is a voter for as long as the part runs.
 func (p *Part) vote() {
 	told := ""
--- a/internal/lab/rig/history.go
+++ b/internal/lab/rig/history.go
@@ -103,6 +103,54 @@
 	return arrived, nil
 }
 
+// RepeatLimit is a budget of repeats as the nodes have to find it kept.
+type RepeatLimit struct {
+	Rate, Burst float64 // a second, over the fleet
+	Share       float64 // of a first try, beside these
+	Saved       float64 // the most of these at one process
+}
+
+// Repeats finds a window in which more attempts beyond the first of their requests reached nodes than the
+// limit allows to so many processes. A repeat was admitted after the attempt before it arrived, and a
+// first try earned its share between its client's sending and its arrival.
+func Repeats(events []Event, l RepeatLimit, processes int) (repeats int, err error) {
+	sent, last := map[string]time.Duration{}, map[string]time.Duration{}
+	type admission struct{ from, to time.Duration }
+	var all []admission
+	var began, ended []time.Duration // of first tries
+	for _, e := range events {
+		switch e.What {
+		case "sent":
+			sent[e.ID] = e.At
+		case "arrived":
+			if before, again := last[e.ID]; again {
+				all = append(all, admission{before, e.At})
+			} else {
+				began, ended = append(began, sent[e.ID]), append(ended, e.At)
+			}
+			last[e.ID] = e.At
+		}
+	}
+	slices.Sort(began)
+	slices.SortFunc(all, func(a, b admission) int { return int(a.to - b.to) })
+	for _, start := range all {
+		before, _ := slices.BinarySearch(ended, start.from) // earned before the window, surely
+		n := 0.0
+		for _, x := range all {
+			if x.from < start.from {
+				continue
+			}
+			n++
+			until, _ := slices.BinarySearch(began, x.to+1)
+			allowed := l.Rate*(x.to-start.from).Seconds() + l.Burst + l.Share*float64(until-before) + l.Saved*float64(processes)
+			if n > allowed+1e-6 {
+				return len(all), fmt.Errorf("%g repeats from %v to %v, %.2f allowed", n, start.from, x.to, allowed)
+			}
+		}
+	}
+	return len(all), nil
+}
+
 // Answers finds a request that was answered twice, or as served without a node's result.
 func Answers(events []Event) error {
 	answered, ran := map[string]bool{}, map[string]bool{}
--- a/internal/lab/rig/history_test.go
+++ b/internal/lab/rig/history_test.go
@@ -35,6 +35,25 @@
 	require.NoError(t, err, "before the limit is in force")
 }
 
+func TestRepeats(t *testing.T) {
+	first := []Event{{At: 0, What: "sent", ID: "a"}, {At: time.Millisecond, What: "arrived", ID: "a"}}
+	again := func(ms int) Event { return Event{At: time.Duration(ms) * time.Millisecond, What: "arrived", ID: "a"} }
+	l := RepeatLimit{Rate: 10, Burst: 1}
+	n, err := Repeats(append(first, again(2)), l, 1)
+	require.NoError(t, err)
+	require.Equal(t, 1, n)
+	_, err = Repeats(append(first, again(2), again(3)), l, 1)
+	require.ErrorContains(t, err, "2 repeats")
+	_, err = Repeats(append(first, again(2), again(103)), l, 1)
+	require.NoError(t, err)
+	l.Saved = 1
+	_, err = Repeats(append(first, again(2), again(3)), l, 1)
+	require.NoError(t, err, "one saved up")
+	l.Saved, l.Share = 0, 1
+	_, err = Repeats(append(first, again(2), again(3)), l, 1)
+	require.NoError(t, err, "one earned by the first try")
+}
+
 func TestOtherCheckers(t *testing.T) {
 	require.Error(t, Answers([]Event{{What: "answered", ID: "a", Status: 200, Note: "r-a"}}), "served though no node ran it")
 	require.Error(t, Answers([]Event{{What: "answered", ID: "a", Status: 503}, {What: "answered", ID: "a", Status: 503}}))
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -20,6 +20,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,6 +45,8 @@
 	Floor  float64       // of each dispatcher
 	Work   time.Duration // how long a node takes for a job
 	Silent bool          // the processes' logs are not kept
+
+	Repeats *RepeatLimit // the budget of repeats, nil for none
 }
 
 // Rig is a fleet of processes with all that is around them.
@@ -56,6 +59,14 @@
 	ctx     context.Context
 	work    sync.WaitGroup
 	ledgers []string // of the voters, without a link between
+	failing atomic.Bool
+	ended   atomic.Int64 // jobs, at all nodes
+}
+
+// Fail has every other job fail at its node, after it ran there, until it is taken back.
+func (r *Rig) Fail(on bool) {
+	r.History.add(Event{What: "jobs fail", Note: fmt.Sprint(on)})
+	r.failing.Store(on)
 }
 
 // Process is one dispatcher's place in the rig: a name, addresses and files, with or without a program
@@ -162,6 +173,9 @@
 			fmt.Fprintf(b, "[budget.jobs.part.%s]\nfloor = %g\n", d.Name, o.Floor)
 		}
 	}
+	if l := o.Repeats; l != nil {
+		fmt.Fprintf(b, "[budget.repeats]\ncounts = \"repeats\"\nwhole = %g\nburst = %g\nshare = %g\nsaved = %g\n", l.Rate, l.Burst, l.Share, l.Saved)
+	}
 	return os.WriteFile(p.fleet, []byte(b.String()), 0o600)
 }
 
@@ -431,7 +445,11 @@
 				}
 				call(fmt.Sprintf(`{"id":%q,"from":%q,"state":"started"}`, id, node))
 				time.Sleep(r.o.Work)
-				call(fmt.Sprintf(`{"id":%q,"from":%q,"state":"done","result":%q}`, id, node, result(id)))
+				if r.ended.Add(1)%2 == 0 && r.failing.Load() {
+					call(fmt.Sprintf(`{"id":%q,"from":%q,"state":"failed"}`, id, node))
+				} else {
+					call(fmt.Sprintf(`{"id":%q,"from":%q,"state":"done","result":%q}`, id, node, result(id)))
+				}
 			})
 		})
 		if err != nil {
