tinroute fleet budgets: told by the leader, changed as the next numbered version

Change: 'fleet budgets [--json]' and 'fleet budgets set NAME whole=N part.X.weight=N ...': read at the leader, changed, put as its version and one more; of two changes at once one is turned down.

--- a/cmd/tinroute/fleet_test.go
+++ b/cmd/tinroute/fleet_test.go
@@ -83,6 +83,19 @@
 	_, err = r.Until(ctx, rig.Divided("d0", "d1"))
 	require.NoError(t, err)
 	judge(t, ctx, r, 40)
+
+	// The whole is halved by an operator's word while all of it is out: first those who have it give up.
+	out, err := d[0].Command("fleet", "budgets", "set", "jobs", "whole=20", "part.d1.weight=3").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	_, err = r.Until(ctx, func(o ledger.Overview) bool {
+		return o.Version == 2 && o.Budgets[0].Whole == 20_000 && o.Budgets[0].Granted <= 20_000
+	})
+	require.NoError(t, err)
+	from := r.History.Now()
+	had, _ := rig.Over(r.History.Events(), rig.Limit{From: from})
+	require.NoError(t, r.Reached(ctx, had+40))
+	_, err = rig.Over(r.History.Events(), rig.Limit{Rate: 20, Burst: 12, From: from})
+	require.NoError(t, err)
 }
 
 // What goes wrong in a fleet of five, three of them voters, each under more load than the whole, with one
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -30,21 +30,30 @@
 
 type fleetWord struct {
 	Status   fleetStatus   `cmd:"" help:"Tell who leads, and each budget with its holders, as each voter knows it."`
+	Budgets  fleetBudgets  `cmd:"" help:"Tell the budgets, or change them."`
 	Rehearse fleetRehearse `cmd:"" help:"Start fleets of this program on loopback, put faults between the processes, and judge what reached the nodes."`
 }
 
-type fleetStatus struct {
+type fleetFile struct {
 	Fleet string `help:"The fleet's file, as serve takes it." placeholder:"FILE" required:""`
-	JSON  bool   `help:"Tell it as JSON." name:"json"`
 }
 
-// Run asks every voter that the file names, and tells the newest state met.
-func (w *fleetStatus) Run(r *run) error {
+func (w *fleetFile) load(r *run) (*config.Fleet, error) {
 	c, err := config.Load(r.Getenv)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	f, err := config.LoadFleet(w.Fleet, c.Name, c.Settings, c.Names)
+	return config.LoadFleet(w.Fleet, c.Name, c.Settings, c.Names)
+}
+
+type fleetStatus struct {
+	fleetFile
+	JSON bool `help:"Tell it as JSON." name:"json"`
+}
+
+// Run asks every voter that the file names, and tells the newest state met.
+func (w *fleetStatus) Run(r *run) error {
+	f, err := w.load(r)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/rig/history.go
+++ b/internal/lab/rig/history.go
@@ -38,6 +38,9 @@
 	h.events = append(h.events, e)
 }
 
+// Now is the time since the history's beginning.
+func (h *History) Now() time.Duration { return time.Since(h.began) }
+
 // Events is a copy of the history so far.
 func (h *History) Events() []Event {
 	h.mu.Lock()
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -17,7 +17,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -207,12 +206,19 @@
 	return nil
 }
 
-func (p *Process) launch(ops string) (*exec.Cmd, error) {
+// Command is the program with other words, the process's settings and its fleet's file.
+func (p *Process) Command(args ...string) *exec.Cmd {
 	o := &p.rig.o
-	args := append(slices.Clone(o.Program[1:]), "--fleet", p.fleet)
-	cmd := exec.Command(o.Program[0], args...) // #nosec: the rig's own program
+	cmd := exec.Command(o.Program[0], append(args, "--fleet", p.fleet)...) // #nosec: the rig's own program
 	cmd.Env = append(os.Environ(), o.Env...)
-	cmd.Env = append(cmd.Env, "LB_CONFIG="+p.config, "LB_OPS="+ops, "TMPDIR="+filepath.Join(p.dir, "tmp"))
+	cmd.Env = append(cmd.Env, "LB_CONFIG="+p.config, "TMPDIR="+filepath.Join(p.dir, "tmp"))
+	return cmd
+}
+
+func (p *Process) launch(ops string) (*exec.Cmd, error) {
+	o := &p.rig.o
+	cmd := p.Command(o.Program[1:]...)
+	cmd.Env = append(cmd.Env, "LB_OPS="+ops)
 	if !o.Silent {
 		log, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
