Fleet figures in telemetry: shares, use, wholes, grants and what lies idle

Change: fleet.Part.Figures, read once for each export; the leader tells wholes, each dispatcher its own share and use.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -145,6 +145,11 @@
 		if d.fleet, err = fleet.Start(fleet.Options{File: d.Fleet, Name: d.Config.Name, Log: d.Log.With("part", "fleet"), Listen: d.Listen}); err != nil {
 			return err
 		}
+		if spans != nil {
+			if err := spans.WatchFleet(d.fleet.Figures); err != nil {
+				return err
+			}
+		}
 		defer func() {
 			stop() // the cores admit nothing more
 			if err := d.fleet.Close(); err != nil {
--- a/internal/fleet/budget/budget.go
+++ b/internal/fleet/budget/budget.go
@@ -54,8 +54,13 @@
 	asked  int64 // Milli asked for since the last demand was read
 	since  time.Duration
 	demand int64
+
+	used, denied int64 // Milli since the start
 }
 
+// Counts are how much was admitted and how much denied since the start, in Milli.
+func (r *Rate) Counts() (used, denied int64) { return r.used, r.denied }
+
 // fine is how much finer than Milli savings are kept, so that short waits are not rounded away.
 const fine = 1000
 
@@ -102,6 +107,7 @@
 	// Step by whole microseconds, or many short steps would each lose a part of one.
 	r.accrue(now - now%time.Microsecond)
 	r.asked += n
+	r.denied += n
 	if need := n*fine - r.saved; need > 0 {
 		rate := r.grant.at(now)
 		if rate <= 0 || n > r.grant.burst(now) {
@@ -113,6 +119,8 @@
 		return false, 0, true
 	}
 	r.saved -= n * fine
+	r.denied -= n
+	r.used += n
 	return true, 0, false
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,7 +41,8 @@
 	stop   chan struct{}
 	ended  sync.WaitGroup
 
-	mu    sync.Mutex // guards what follows
+	mu    sync.Mutex    // guards what follows
+	voter *quorum.Voter // nil where it does not vote now
 	file  *config.Fleet
 	ratio budget.Ratio // of repeats to first tries
 }
@@ -126,7 +127,9 @@
 	for {
 		v, s, err := p.begin()
 		if err == nil {
+			p.votes(v)
 			err = p.lead(v)
+			p.votes(nil)
 			s.Close()
 			if err := v.Close(); err != nil {
 				p.o.Log.Warn("voter not closed", "err", err)
@@ -150,6 +153,12 @@
 	}
 }
 
+func (p *Part) votes(v *quorum.Voter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.voter = v
+}
+
 func (p *Part) begin() (*quorum.Voter, *rpc.Server, error) {
 	f, addrs := p.o.File, map[string]string{}
 	for name, v := range f.Voters {
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -77,6 +77,25 @@
 	return m.rates[i].Take(m.o.Clock(), n)
 }
 
+// Use is how one of Options.Rates stands, in thousandths: the share a second, and what was admitted and
+// denied since the start.
+type Use struct {
+	Budget              string
+	Share, Used, Denied int64
+}
+
+// Uses tells how every rate stands.
+func (m *Member) Uses() (all []Use) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.o.Clock()
+	for i, r := range m.rates {
+		used, denied := r.Counts()
+		all = append(all, Use{m.o.Rates[i], r.Holding(now), used, denied})
+	}
+	return all
+}
+
 // Leased tells whether the lease runs, and the version of the budgets last heard of.
 func (m *Member) Leased() (leased bool, version uint64) {
 	m.mu.Lock()
--- a/internal/telemetry/export.go
+++ b/internal/telemetry/export.go
@@ -15,6 +15,7 @@
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
+	"tinroute.example/tinroute/internal/fleet"
 )
 
 var background = context.Background()
@@ -241,6 +242,30 @@
 	Open() int
 }
 
+// WatchFleet makes gauges of what a fleet's part tells: read is called once for each export.
+func (t *Telemetry) WatchFleet(read func() []fleet.Figure) error {
+	if t.meter == nil {
+		return nil
+	}
+	gauges := map[string]metric.Float64ObservableGauge{}
+	var all []metric.Observable
+	for name, about := range fleet.Figures {
+		g, err := t.meter.Float64ObservableGauge(name, metric.WithDescription(about))
+		if err != nil {
+			return err
+		}
+		gauges[name] = g
+		all = append(all, g)
+	}
+	_, err := t.meter.RegisterCallback(func(_ context.Context, to metric.Observer) error {
+		for _, f := range read() {
+			to.ObserveFloat64(gauges[f.Name], f.Value, metric.WithAttributes(attribute.String("budget", f.Budget), attribute.String("holder", f.Holder)))
+		}
+		return nil
+	}, all...)
+	return err
+}
+
 const viewWait = 200 * time.Millisecond
 
 // Watch makes gauges of what the policy holds. It asks the core once for each export, and does
