--- a/internal/fleet/quorum/quorum_test.go
+++ b/internal/fleet/quorum/quorum_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -23,9 +24,22 @@
 	t     *testing.T
 	addrs map[string]string
 	dir   string
+	lease time.Duration // 400 ms where 0
 	up    map[string]*Voter
 }
 
+// newVoters are n of them with free addresses, none started.
+func newVoters(t *testing.T, n int) *voters {
+	v := &voters{t: t, addrs: map[string]string{}, dir: t.TempDir(), up: map[string]*Voter{}}
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		v.addrs[fmt.Sprint("n", i)] = l.Addr().String()
+		require.NoError(t, l.Close())
+	}
+	return v
+}
+
 func (v *voters) start(name string, begin bool) {
 	x, err := v.try(name, begin)
 	require.NoError(v.t, err)
@@ -33,8 +47,9 @@
 }
 
 func (v *voters) try(name string, begin bool) (*Voter, error) {
+	lease := cmp.Or(v.lease, 400*time.Millisecond)
 	return Start(Options{Begin: begin, Name: name, Voters: v.addrs, Dir: filepath.Join(v.dir, name), Fleet: ledger.Settings{Fleet: "f", Generation: 1, MostMembers: 8},
-		Terms: ledger.Terms{Lease: 400 * time.Millisecond, Linger: 400 * time.Millisecond, Drift: 0.01}, Pace: 150 * time.Millisecond, Clock: clock})
+		Terms: ledger.Terms{Lease: lease, Linger: 400 * time.Millisecond, Drift: 0.01}, Pace: 150 * time.Millisecond, Clock: clock})
 }
 
 func (v *voters) stop(name string) {
@@ -70,13 +85,7 @@
 // lapses under the new one and its share moves, and the dead one comes back from its folder to the
 // same state.
 func TestALeaderDiesAndItsBudgetMoves(t *testing.T) {
-	v := &voters{t: t, addrs: map[string]string{}, dir: t.TempDir(), up: map[string]*Voter{}}
-	for i := range 3 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		v.addrs[fmt.Sprint("n", i)] = l.Addr().String()
-		require.NoError(t, l.Close())
-	}
+	v := newVoters(t, 3)
 	for name := range v.addrs {
 		v.start(name, true)
 	}
