--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -282,13 +282,17 @@
 	whole := b.Whole - s.absent(b)
 	var claims []share.Claim
 	at := -1
-	named := map[string]int64{}
+	type processes struct {
+		n      int64
+		newest uint64
+	}
+	named := map[string]processes{}
 	order := s.order()
-	for _, i := range order {
+	for _, i := range order { // by incarnation: the last one seen is the newest
 		if m := s.members[i]; m.Lapsed {
 			whole -= m.Granted[b.Name]
 		} else {
-			named[m.Name]++
+			named[m.Name] = processes{named[m.Name].n + 1, i}
 		}
 	}
 	for _, i := range order {
@@ -298,8 +302,8 @@
 		}
 		p := b.Parts[m.Name]
 		// The processes of one name, as in an upgrade, share its weight; the newest has its floor.
-		c := share.Claim{Weight: max(1, max(1, p.Weight)*weightUnit/named[m.Name]), Demand: m.Demand[b.Name], Ceiling: p.Ceiling}
-		if s.newest(m.Name) == i {
+		c := share.Claim{Weight: max(1, max(1, p.Weight)*weightUnit/named[m.Name].n), Demand: m.Demand[b.Name], Ceiling: p.Ceiling}
+		if named[m.Name].newest == i {
 			c.Floor = p.Floor
 		}
 		if i == of {
@@ -338,17 +342,27 @@
 	if b.Lend {
 		return 0
 	}
-	has := map[string]int64{}
-	live := map[string]bool{}
-	for _, m := range s.members {
-		has[m.Name] += m.Granted[b.Name]
-		live[m.Name] = live[m.Name] || !m.Lapsed
-	}
+	away := map[string]int64{} // what of its floor each name does not have
 	for name, p := range b.Parts {
-		if !live[name] {
-			sum += max(0, p.Floor-has[name])
+		if p.Floor > 0 {
+			away[name] = p.Floor
+		}
+	}
+	if len(away) == 0 {
+		return 0
+	}
+	for _, m := range s.members {
+		if floor, ok := away[m.Name]; !ok {
+			continue
+		} else if m.Lapsed {
+			away[m.Name] = max(0, floor-m.Granted[b.Name])
+		} else {
+			delete(away, m.Name)
 		}
 	}
+	for _, floor := range away {
+		sum += floor
+	}
 	return min(sum, b.Whole)
 }
 
--- a/internal/fleet/share/share.go
+++ b/internal/fleet/share/share.go
@@ -68,8 +68,8 @@
 // rise gives each claim its weight's part of the highest common level, but no less than least and no
 // more than most, with no more than the whole given away.
 func rise(whole int64, claims []Claim, least, most []int64) []int64 {
+	got := make([]int64, len(claims))
 	at := func(level uint64) []int64 {
-		got := make([]int64, len(claims))
 		for i, c := range claims {
 			hi, lo := bits.Mul64(level, uint64(c.weight()))
 			part := most[i]
@@ -81,7 +81,7 @@
 		return got
 	}
 	low, high := uint64(0), uint64(Most)<<levelBits
-	if got := at(high); sum(got) <= whole {
+	if sum(at(high)) <= whole {
 		return got
 	}
 	for high-low > 1 {
