Fleet ledger lost: begun anew under a higher generation, after all that was granted has ended

Seen by reading: a member of the old ledger could be taken for one of the new (incarnations began at 1 again), an old folder or process could speak with the new voters, and the new ledger granted at once what cut-off members still held. Change: incarnations carry the generation; voters' ids carry fleet and generation, the folder a mark; a leader of a later generation proposes no budgets until leases and lingering of the one before are over, counted from when it first leads.

--- a/cmd/tinroute/fleet_test.go
+++ b/cmd/tinroute/fleet_test.go
@@ -289,3 +289,57 @@
 	require.Greater(t, repeats, 10, "the budget is there to be used")
 	t.Logf("%d repeats", repeats)
 }
+
+// All voters lose their folders while two members hold nearly the whole for a lease that outlives the restart.
+// The ledger is begun anew under a higher generation: what the lost one granted ends before anything is granted
+// again, as the nodes count it, and a folder of the old generation is not believed.
+func TestFleetLosesItsLedger(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	r := newFleet(t, ctx, rig.Options{Voters: 3, Members: 5, Lease: 4 * time.Second})
+	d := r.Processes()
+	for _, p := range d[3:] {
+		defer r.Load(p, 10*time.Millisecond)()
+	}
+	_, err := r.Until(ctx, func(o ledger.Overview) bool {
+		had := int64(0)
+		for _, b := range o.Budgets {
+			for _, h := range b.Holders {
+				if h.Name == "d3" || h.Name == "d4" {
+					had += h.Granted
+				}
+			}
+		}
+		return had > 35_000
+	})
+	require.NoError(t, err)
+	require.NoError(t, r.Reached(ctx, 60))
+	require.NoError(t, d[2].Keep())
+	for _, p := range d[3:] { // they cannot hear of the loss
+		p.Cut(rig.Way{Silent: true}, rig.Way{Silent: true})
+	}
+	for _, p := range d[:3] {
+		require.NoError(t, p.Signal(syscall.SIGKILL))
+		require.NoError(t, p.Wipe())
+	}
+	require.NoError(t, d[2].PutBack())
+	r.Generation(2)
+	for _, p := range d[:3] {
+		require.NoError(t, p.Settings(1, 40, true))
+		defer r.Load(p, 10*time.Millisecond)()
+	}
+	begin(t, ctx, d[:3]...)
+	_, err = r.Until(ctx, rig.Divided("d0", "d1", "d2"))
+	require.NoError(t, err)
+	for _, p := range d[3:] {
+		p.Cut(rig.Way{}, rig.Way{})
+	}
+	_, err = r.Until(ctx, rig.Divided("d0", "d1", "d2", "d3", "d4"))
+	require.NoError(t, err)
+	had, _ := rig.Over(r.History.Events(), rig.Limit{From: r.History.Now()})
+	require.NoError(t, r.Reached(ctx, had+60))
+	judge(t, ctx, r, 40)
+	_, err = r.Look(ctx, 2)
+	require.Error(t, err, "its folder is of the generation before: it does not vote")
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -142,7 +142,7 @@
 			told = err.Error()
 			p.o.Log.Error("cannot vote", "err", err)
 		}
-		if errors.Is(err, quorum.ErrDamaged) { // a person has to look at the folder
+		if errors.Is(err, quorum.ErrDamaged) || errors.Is(err, quorum.ErrGeneration) { // a person has to look at the folder
 			return
 		}
 		select {
@@ -181,7 +181,7 @@
 func (p *Part) lead(v *quorum.Voter) error {
 	tick := time.NewTicker(p.o.File.Terms.Lease / 4)
 	defer tick.Stop()
-	told := ""
+	told, began := "", time.Duration(0)
 	for {
 		select {
 		case <-p.stop:
@@ -191,13 +191,28 @@
 		case <-tick.C:
 		}
 		if v.Leader() != p.o.Name {
+			began = 0
 			continue
 		}
+		if began == 0 { // a majority is of this ledger, so none is of the one before
+			began = Clock()
+		}
 		p.mu.Lock()
 		set := ledger.Set{Version: p.file.Version, Budgets: p.file.Budgets}
 		p.mu.Unlock()
 		var have ledger.Overview
 		v.Look(func(s *ledger.State) { have = s.Overview() })
+		// What the ledger before this one granted may be in use: by members' leases, and after these by floors
+		// and jobs, for as long as their files say.
+		if f := p.o.File; have.Version == 0 && f.Ledger.Generation > 1 {
+			if left := f.Terms.Past() - (Clock() - began); left > 0 {
+				if told != "waits" {
+					told = "waits"
+					p.o.Log.Info("a later generation: nothing is granted before the one before has surely ended", "for", left.Round(time.Millisecond))
+				}
+				continue
+			}
+		}
 		if set.Version <= have.Version {
 			if set.Version == have.Version && !same(set.Budgets, have.Budgets) && told != "differs" {
 				told = "differs"
--- a/internal/fleet/ledger/keeper.go
+++ b/internal/fleet/ledger/keeper.go
@@ -19,6 +19,11 @@
 	return t.Holder(asked) + time.Duration(float64(t.Linger)*(1-t.Drift))
 }
 
+// Past is how long what a ledger granted may be in use after it is gone, by any clock within the drift.
+func (t Terms) Past() time.Duration {
+	return time.Duration(float64(t.Lease+t.Linger) * (1 + t.Drift) * (1 + t.Drift))
+}
+
 // Keeper is the leader's alone: it finds whose lease has surely ended. It counts from when it first
 // saw a member's last ask in the state, which is after the member sent it; a new leader knows no such
 // time and counts from when it became one.
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -158,8 +158,14 @@
 	last    uint64 // incarnation
 }
 
-// New returns an empty state.
-func New(s Settings) *State { return &State{Settings: s, members: map[uint64]*member{}} }
+// New returns an empty state. Incarnations of a later generation are higher than any of those before: a
+// member of a ledger that was lost must not be taken for another one of its successor.
+func New(s Settings) *State {
+	return &State{Settings: s, members: map[uint64]*member{}, last: (max(1, s.Generation) - 1) << generationBits}
+}
+
+// generationBits are the lower bits of an incarnation, which count within a generation.
+const generationBits = 32
 
 // Apply takes one command. An error is an answer too, and has changed nothing.
 func (s *State) Apply(c Command) (Answer, error) {
--- a/internal/fleet/quorum/disk.go
+++ b/internal/fleet/quorum/disk.go
@@ -102,11 +102,16 @@
 	if err == nil || errors.Is(err, raft.ErrLogNotFound) || errors.Is(err, boltdb.ErrKeyNotFound) || !d.runs.Load() {
 		return err
 	}
-	d.once.Do(func() { d.why = damaged(err); close(d.bad) })
+	d.fail(damaged(err))
 	runtime.Goexit()
 	return err
 }
 
+// fail ends the voter's use, for the first reason given.
+func (d *disk) fail(why error) {
+	d.once.Do(func() { d.why = why; close(d.bad) })
+}
+
 // insist calls f until it has done its work; at the voter's end it ends the calling goroutine.
 func (d *disk) insist(f func() error) error {
 	for {
--- a/internal/fleet/quorum/disk_test.go
+++ b/internal/fleet/quorum/disk_test.go
@@ -51,7 +51,7 @@
 			data = data[:1+rng.IntN(len(data)-1)]
 		}
 		v.dir = t.TempDir() // bbolt keeps the lock of a file on which it has panicked
-		require.NoError(t, os.Mkdir(filepath.Join(v.dir, "n0"), 0o700))
+		require.NoError(t, os.CopyFS(filepath.Join(v.dir, "n0"), os.DirFS(filepath.Dir(path))))
 		require.NoError(t, os.WriteFile(filepath.Join(v.dir, "n0", "log.db"), data, 0o600))
 		x, err := v.try("n0", false)
 		if err != nil {
--- a/internal/fleet/quorum/quorum.go
+++ b/internal/fleet/quorum/quorum.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,6 +44,9 @@
 // know whom it voted for: let in under its name, it could vote twice in one term.
 var ErrEmpty = errors.New("quorum: the voter's folder holds no log")
 
+// ErrGeneration is the cause where a folder, or a process, is of another fleet or generation than the ledger.
+var ErrGeneration = errors.New("quorum: of another fleet or generation")
+
 // ErrUnsure is the answer where a command may or may not have been written.
 var ErrUnsure = errors.New("quorum: may or may not be written")
 
@@ -56,16 +60,40 @@
 	closeWait = time.Second
 )
 
-// addresses is where this process reaches each voter.
-type addresses map[string]string
+// prefix is before each voter's name in the replicated list: raft turns down votes for one that is not in its
+// list, and so for a voter of another fleet, or of a ledger that was lost.
+func (o *Options) prefix() string { return fmt.Sprintf("%s/%d/", o.Fleet.Fleet, o.Fleet.Generation) }
+
+func (o *Options) id(name string) raft.ServerID { return raft.ServerID(o.prefix() + name) }
 
-func (a addresses) ServerAddr(id raft.ServerID) (raft.ServerAddress, error) {
-	if addr := a[string(id)]; addr != "" {
+// ServerAddr is where this process reaches a voter; it implements raft.ServerAddressProvider.
+func (o *Options) ServerAddr(id raft.ServerID) (raft.ServerAddress, error) {
+	name, ours := strings.CutPrefix(string(id), o.prefix())
+	if addr := o.Voters[name]; ours && addr != "" {
 		return raft.ServerAddress(addr), nil
 	}
 	return "", fmt.Errorf("quorum: no address of voter %q", id)
 }
 
+// mark is the file that says whose the folder is.
+const mark = "ledger"
+
+// marked checks whose the folder is, or writes it where the folder is new.
+func (o *Options) marked(had bool) error {
+	path, want := filepath.Join(o.Dir, mark), o.prefix()
+	if !had {
+		return os.WriteFile(path, []byte(want), 0o600)
+	}
+	is, err := os.ReadFile(path)
+	if err == nil && string(is) != want {
+		err = fmt.Errorf("the folder is of %s, this is %s", is, want)
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrGeneration, err)
+	}
+	return nil
+}
+
 // Voter is one of a fleet's voters.
 type Voter struct {
 	o      Options
@@ -93,7 +121,7 @@
 		return nil, err
 	}
 	c := raft.DefaultConfig()
-	c.LocalID = raft.ServerID(o.Name)
+	c.LocalID = o.id(o.Name)
 	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout, c.CommitTimeout = o.Pace, o.Pace, o.Pace/2, o.Pace/20
 	c.Logger = hclog.NewNullLogger()
 	v = &Voter{o: o, fsm: &machine{state: ledger.New(o.Fleet)}, stop: make(chan struct{})}
@@ -113,7 +141,7 @@
 	}
 	// The replicated list names voters by their ids alone; where each is reached is this process's own map.
 	if v.trans, err = raft.NewTCPTransportWithConfig(o.Voters[o.Name], nil, &raft.NetworkTransportConfig{
-		MaxPool: conns, Timeout: 2 * o.Pace, Logger: c.Logger, ServerAddressProvider: addresses(o.Voters),
+		MaxPool: conns, Timeout: 2 * o.Pace, Logger: c.Logger, ServerAddressProvider: &v.o,
 		// No pipeline: over a link that had been slow its sender and its reader were seen to wait for each
 		// other for ever, and with them the voter's end.
 		MaxRPCsInFlight: 1}); err != nil {
@@ -126,10 +154,13 @@
 	if !had && !o.Begin {
 		return v, fmt.Errorf("%w: %s", ErrEmpty, o.Dir)
 	}
+	if err = o.marked(had); err != nil {
+		return v, err
+	}
 	if !had { // every voter begins with the same list; those that come late are told
 		var servers []raft.Server
 		for name := range o.Voters {
-			servers = append(servers, raft.Server{ID: raft.ServerID(name), Address: raft.ServerAddress(name)})
+			servers = append(servers, raft.Server{ID: o.id(name), Address: raft.ServerAddress(name)})
 		}
 		slices.SortFunc(servers, func(a, b raft.Server) int {
 			if a.ID < b.ID {
@@ -189,7 +220,7 @@
 // Leader is the leader's name as this voter knows it, empty where it knows none.
 func (v *Voter) Leader() string {
 	_, id := v.raft.LeaderWithID()
-	return string(id)
+	return strings.TrimPrefix(string(id), v.o.prefix())
 }
 
 // Look calls f with the state, which f must neither keep nor change.
@@ -211,6 +242,10 @@
 		case <-v.stop:
 			return
 		}
+		if !v.listed() {
+			v.store.fail(fmt.Errorf("%w: the others have begun another one", ErrGeneration))
+			return
+		}
 		if v.raft.State() != raft.Leader {
 			leads = false
 			continue
@@ -242,6 +277,15 @@
 // Why is the reason; only after Failed.
 func (v *Voter) Why() error { return v.store.why }
 
+// listed tells whether this voter is in the replicated list, or the list is not known yet.
+func (v *Voter) listed() bool {
+	f := v.raft.GetConfiguration()
+	if v.wait(f) != nil || len(f.Configuration().Servers) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(f.Configuration().Servers, func(s raft.Server) bool { return s.ID == v.o.id(v.o.Name) })
+}
+
 // Close ends the voter; its folder stays.
 func (v *Voter) Close() error {
 	close(v.stop)
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -50,14 +50,16 @@
 
 // Rig is a fleet of processes with all that is around them.
 type Rig struct {
-	o       Options
-	History *History
-	disp    []*Process
-	nodes   []*http.Server
-	stop    context.CancelFunc
-	ctx     context.Context
-	work    sync.WaitGroup
-	ledgers []string // of the voters, without a link between
+	o          Options
+	History    *History
+	disp       []*Process
+	nodes      []*http.Server
+	stop       context.CancelFunc
+	ctx        context.Context
+	work       sync.WaitGroup
+	ledgers    []string // of the voters, without a link between
+	generation int
+
 	failing atomic.Bool
 	ended   atomic.Int64 // jobs, at all nodes
 }
@@ -102,7 +104,7 @@
 
 // New lays out the fleet: addresses, links, files, nodes and discovery. No process runs yet.
 func New(o Options) (*Rig, error) {
-	r := &Rig{o: o, History: newHistory()}
+	r := &Rig{o: o, History: newHistory(), generation: 1}
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	ports, err := freePorts(2*o.Members + 2*o.Voters)
 	if err != nil {
@@ -152,10 +154,13 @@
 	return r, nil
 }
 
+// Generation is the ledger's that files written from now on name.
+func (r *Rig) Generation(n int) { r.generation = n }
+
 // Settings writes a process's fleet file anew, for its next start or SIGHUP.
 func (p *Process) Settings(version int, whole float64, begin bool) error {
 	o, b := &p.rig.o, &strings.Builder{}
-	fmt.Fprintf(b, "fleet = \"rig\"\nmembers = %d\nlease = %q\nlinger = %q\ndrift = 0.01\nversion = %d\n", o.Room, o.Lease, Deadline, version)
+	fmt.Fprintf(b, "fleet = \"rig\"\ngeneration = %d\nmembers = %d\nlease = %q\nlinger = %q\ndrift = 0.01\nversion = %d\n", p.rig.generation, o.Room, o.Lease, Deadline, version)
 	if p.votes {
 		fmt.Fprintf(b, "[voter]\ndir = %q\nbegin = %v\npace = %q\n", p.folder(), begin, max(200*time.Millisecond, o.Lease/3))
 	}
