--- a/cmd/tinroute/fleet_test.go
+++ b/cmd/tinroute/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"slices"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"tinroute.example/tinroute/internal/fleet/ledger"
 	"tinroute.example/tinroute/internal/lab/rig"
+	"tinroute.example/tinroute/internal/load"
 )
 
 // newFleet starts a fleet of this program with a budget of 40 jobs a second, and waits until all of it is
@@ -343,3 +345,37 @@
 	_, err = r.Look(ctx, 2)
 	require.Error(t, err, "its folder is of the generation before: it does not vote")
 }
+
+// Answers with budgets on and off, in turn, from a member of a fleet of two: every job is served in both. With
+// TINROUTE_PAIRS it measures so many rounds.
+func TestBudgetsCost(t *testing.T) {
+	rounds, lasts, rate := 1, time.Second, 50.0
+	if n, err := strconv.Atoi(os.Getenv("TINROUTE_PAIRS")); err == nil {
+		rounds, lasts, rate = n, 10*time.Second, 400
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rounds+1)*time.Minute)
+	defer cancel()
+	for round := range rounds {
+		for i := range 2 {
+			off := (i+round)%2 == 0
+			r, err := rig.New(rig.Options{Dir: t.TempDir(), Program: os.Args[:1], Env: []string{"TINROUTE_TEST_MAIN=1"}, Voters: 1, Members: 2, Room: 4,
+				Nodes: 3, Lease: 2 * time.Second, Whole: 2000, Burst: 1000, Work: 10 * time.Millisecond, Off: off})
+			require.NoError(t, err)
+			begin(t, ctx, r.Processes()...)
+			if !off {
+				_, err = r.Until(ctx, rig.Divided("d0", "d1"))
+				require.NoError(t, err)
+			}
+			d := r.Processes()[1]
+			used := cpu(d.Running())
+			res, err := load.Run(ctx, load.Options{Target: d.Listen, Owner: "t", Rate: rate, For: lasts, Seed: uint64(round),
+				Classes: []load.Class{{Name: "job", Share: 1, Deadline: rig.Deadline}}}, nil)
+			require.NoError(t, err)
+			require.Equal(t, res.Sent, res.Classes[0].Served, "%+v", res.Classes[0].Statuses)
+			all, own := memory(d.Running())
+			t.Logf("round %d budgets off %-5v p50 %d us, p99 %d us, processor time %v a request, %d MB, %d own", round, off, res.All.ValueAtQuantile(50),
+				res.All.ValueAtQuantile(99), ((cpu(d.Running()) - used) / time.Duration(res.Sent)).Round(time.Microsecond), all, own)
+			r.Close()
+		}
+	}
+}
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -17,6 +17,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,7 @@
 	Floor  float64       // of each dispatcher
 	Work   time.Duration // how long a node takes for a job
 	Silent bool          // the processes' logs are not kept
+	Off    bool          // the processes are told of no fleet
 
 	Repeats *RepeatLimit // the budget of repeats, nil for none
 }
@@ -214,7 +216,10 @@
 // Command is the program with other words, the process's settings and its fleet's file.
 func (p *Process) Command(args ...string) *exec.Cmd {
 	o := &p.rig.o
-	cmd := exec.Command(o.Program[0], append(args, "--fleet", p.fleet)...) // #nosec: the rig's own program
+	if !o.Off {
+		args = append(args, "--fleet", p.fleet)
+	}
+	cmd := exec.Command(o.Program[0], args...) // #nosec: the rig's own program
 	cmd.Env = append(os.Environ(), o.Env...)
 	cmd.Env = append(cmd.Env, "LB_CONFIG="+p.config, "TMPDIR="+filepath.Join(p.dir, "tmp"))
 	return cmd
@@ -222,7 +227,7 @@
 
 func (p *Process) launch(ops string) (*exec.Cmd, error) {
 	o := &p.rig.o
-	cmd := p.Command(o.Program[1:]...)
+	cmd := p.Command(slices.Clone(o.Program[1:])...)
 	cmd.Env = append(cmd.Env, "LB_OPS="+ops)
 	if !o.Silent {
 		log, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -235,6 +240,13 @@
 	return cmd, cmd.Start()
 }
 
+// Running is the running program, nil where there is none.
+func (p *Process) Running() *exec.Cmd {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd
+}
+
 // Signal sends a signal to the running program: SIGKILL, SIGTERM, SIGSTOP, SIGCONT, SIGHUP. For SIGKILL
 // and SIGTERM it waits for the end.
 func (p *Process) Signal(s syscall.Signal) error {
