Daemon: parts that start in order and close in the reverse one

Change: parts.go: telemetry, bans, fleet, the platform's front, Gearman, the operators' door, each a method that starts nothing where the settings do not ask for it and leaves its closing behind; Run starts them, waits and drains. The order of both is as it was.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,7 +3,6 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -21,7 +20,6 @@
 	"tinroute.example/tinroute/internal/fleet"
 	"tinroute.example/tinroute/internal/gearman"
 	"tinroute.example/tinroute/internal/hand"
-	"tinroute.example/tinroute/internal/handover"
 	"tinroute.example/tinroute/internal/hook"
 	"tinroute.example/tinroute/internal/jobstore"
 	"tinroute.example/tinroute/internal/link"
@@ -92,147 +90,33 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(d.Config.Limits.Cores)))
 	debug.SetMemoryLimit(int64(memoryShare * float64(d.Config.Limits.MemoryMB<<20)))
-	sockets := min(d.Config.Limits.Sockets, mostSockets) - reserve
-	if d.Gearman != nil {
-		sockets /= 2
-	}
-	terminals := int(terminalShare * float64(sockets))
-
 	ctx, end := context.WithCancel(ctx)
 	defer end()
-	// The parts outlive ctx: they are needed until the last answer.
-	inner, stop := context.WithCancel(context.Background())
-	defer stop()
-	failed := make(chan error, 2)
-	var fronts []front
-	open := func(addr string, f front) error {
-		l, err := d.Listen("tcp", addr)
-		if err != nil {
-			return fmt.Errorf("listen: %w", err)
-		}
-		context.AfterFunc(inner, func() { _ = l.Close() })
-		fronts = append(fronts, f)
-		go func() {
-			if err := f.Serve(l); err != nil {
-				failed <- err
-			}
-		}()
-		return nil
-	}
-
-	plain := d.Log
-	spans, err := telemetry.New(inner, d.Telemetry, d.Config.Name, plain)
-	if err != nil {
-		return err
-	}
-	if spans != nil {
-		d.Log = slog.New(spans.Handler(plain.Handler()))
-		defer func() {
-			stop() // the cores tell nothing more
-			if err := spans.Close(); err != nil {
-				plain.Warn("telemetry", "err", err)
-			}
-			d.Log = plain
-		}()
-	}
-	if d.Config.Ops != "" { // what a predecessor left binds before anything is sent
-		d.hand = hand.New()
-		keeper := handover.New(handover.Options{Dir: d.Shared, Book: d.hand, Log: d.Log})
-		keeper.Start()
-		defer keeper.Close()
-	}
-	if d.Fleet != nil { // it is left after the last answer, and before telemetry ends
-		if d.fleet, err = fleet.Start(fleet.Options{File: d.Fleet, Name: d.Config.Name, Log: d.Log.With("part", "fleet"), Listen: d.Listen}); err != nil {
-			return err
-		}
-		if spans != nil {
-			if err := spans.WatchFleet(d.fleet.Figures); err != nil {
-				return err
-			}
-		}
-		defer func() {
-			stop() // the cores admit nothing more
-			if err := d.fleet.Close(); err != nil {
-				d.Log.Warn("fleet", "err", err)
-			}
-		}()
-	}
-	core, err := d.core(inner, "http", d.Config.Hooks, spans, d.Log)
-	if err != nil {
-		return err
-	}
-	regions := platform.NewRegions(core, d.Log, d.Dial, sockets-terminals)
-	table, err := d.start(inner, core, regions, d.Config.Discovery, d.Config.Known)
-	if err != nil {
+	r := &running{Daemon: d, end: end, failed: make(chan error, 2)}
+	r.inner, r.stop = context.WithCancel(context.Background())
+	defer r.stop()
+	defer r.close()
+	if err := r.begin(); err != nil {
 		return err
 	}
-	clients := platform.NewServer(core, regions, d.Log, d.Config.Names, terminals)
-	if d.Config.Ops != "" { // upgrades: a region's call-back may reach the other process
-		relay := handover.NewRelay(d.Shared, d.Log, clients.Relayed)
-		if err := relay.Start(); err != nil {
-			return err
-		}
-		defer relay.Close()
-		clients.Relay(relay.Send)
-	}
-	if err := open(d.Config.Listen, clients); err != nil {
-		return err
-	}
-	d.Log.Info("serving", "name", d.Config.Name, "listen", d.Config.Listen, "discovery", d.Config.Discovery,
-		"terminals", terminals, "connections", sockets-terminals)
-
-	var second *platform.Table
-	if d.Gearman != nil {
-		log := d.Log.With("front", "gearman")
-		core, err := d.core(inner, "gearman", d.Gearman.Hooks, spans, log, gearman.NewWatch())
-		if err != nil {
-			return err
-		}
-		regions := gearman.NewRegions(core, log, d.Dial, sockets-terminals)
-		terminals := cmp.Or(d.Gearman.Connections, terminals)
-		o := gearman.Options{Log: log, File: d.Gearman, Name: d.Config.Name, Most: terminals, Regions: regions.Serving, Shutdown: end}
-		run, shut := d.background(inner, &o, log)
-		server := gearman.NewServer(core, o)
-		run()
-		defer func() { // after the last answer, and with nothing more to be offered
-			stop()
-			shut()
-		}()
-		if second, err = d.start(inner, core, regions, d.Gearman.Discovery, nil); err != nil {
-			return err
-		}
-		if err := open(d.Gearman.Listen, server); err != nil {
-			return err
-		}
-		log.Info("serving", "name", d.Config.Name, "listen", d.Gearman.Listen, "discovery", d.Gearman.Discovery,
-			"terminals", terminals, "connections", sockets-terminals)
-	}
-
-	if d.Config.Ops != "" { // with every core made: it counts them all
-		door, err := d.door(clients.Ready)
-		if err != nil {
-			return err
-		}
-		defer door.Close()
-	}
-	go d.reload(inner, table, second)
+	go d.reload(r.inner, r.table, r.second)
 	select {
-	case err := <-failed:
+	case err := <-r.failed:
 		return err
 	case <-ctx.Done():
 	}
 	within := d.untilKilled() - beforeKill
 	before := d.answered()
 	var drained sync.WaitGroup
-	for _, f := range fronts {
+	for _, f := range r.fronts {
 		drained.Go(func() {
-			f.Drain(inner, link.Grace{Free: killPast - beforeKill, Stay: within - lastAsked, Within: within})
+			f.Drain(r.inner, link.Grace{Free: killPast - beforeKill, Stay: within - lastAsked, Within: within})
 		})
 	}
 	drained.Wait()
 	d.Log.Info("answered while draining", "classes", d.answeredSince(before))
-	if spans != nil {
-		spans.Flush() // while the cores can still be asked
+	if r.spans != nil {
+		r.spans.Flush() // while the cores can still be asked
 	}
 	time.Sleep(lastWords)
 	return nil
