Fleet members ask early where demand has surely moved, or more is due

Checked in the model: the estimate halved its way at each ask (five asks to follow a shift), and what others gave up came one period later. Change: Rate.Demand goes all the way where chance would hardly explain what came; answers say where more is due; members look 20 times a lease whether to ask early.

--- a/internal/fleet/budget/budget.go
+++ b/internal/fleet/budget/budget.go
@@ -8,7 +8,10 @@
 // in thousandths: of a unit a second for rates, of a piece for what is held.
 package budget
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Milli is a unit of a budget's amounts: one job, one piece, one second of work.
 const Milli = 1000
@@ -52,8 +55,9 @@
 	saved  int64 // thousandths of Milli
 	at     time.Duration
 	asked  int64 // Milli asked for since the last demand was read
+	times  int64 // in how many calls
 	since  time.Duration
-	demand int64
+	demand float64
 
 	used, denied int64 // Milli since the start
 }
@@ -107,6 +111,7 @@
 	// Step by whole microseconds, or many short steps would each lose a part of one.
 	r.accrue(now - now%time.Microsecond)
 	r.asked += n
+	r.times++
 	r.denied += n
 	if need := n*fine - r.saved; need > 0 {
 		rate := r.grant.at(now)
@@ -130,16 +135,34 @@
 // Holding is the most that may be used from now on without another grant.
 func (r *Rate) Holding(now time.Duration) int64 { return r.grant.at(now) }
 
-// Demand is what was asked for, admitted or not, in Milli a second since the last call, smoothed so
-// that half of an older demand is forgotten at each call.
+// Demand is what was asked for, admitted or not, in Milli a second. Between two calls a few arrive by chance
+// or none, and shares that follow chance are idle where they are and missing where they were: so the estimate
+// moves by a quarter of the way, but goes all the way at once where chance alone would hardly explain what came.
 func (r *Rate) Demand(now time.Duration) int64 {
-	if d := now - r.since; d > 0 {
-		r.demand = (r.demand + r.asked*int64(time.Second/time.Microsecond)/max(1, int64(d/time.Microsecond))) / 2
-		r.asked, r.since = 0, now
+	if d := (now - r.since).Seconds(); d > 0 {
+		came := float64(r.asked)
+		if r.Moved(now) {
+			r.demand = came / d
+		} else {
+			r.demand += (came/d - r.demand) / 4
+		}
+		r.asked, r.times, r.since = 0, 0, now
 	}
-	return r.demand
+	return int64(r.demand)
 }
 
+// Moved tells whether the demand is surely another one than the last call of Demand told.
+func (r *Rate) Moved(now time.Duration) bool {
+	came, expected, unit := float64(r.asked), r.demand*(now-r.since).Seconds(), float64(Milli)
+	if r.times > 0 {
+		unit = came / float64(r.times)
+	}
+	return math.Abs(came-expected) > surely*math.Sqrt(max(expected, unit)*unit)
+}
+
+// surely is how many standard deviations of a Poisson count no chance is taken for.
+const surely = 3
+
 // Ratio is a budget by count: each unit earned allows a part of another kind's, as repeats by first tries.
 // It needs no ledger: what every dispatcher keeps within its part, all together do.
 type Ratio struct {
--- a/internal/fleet/budget/holder.go
+++ b/internal/fleet/budget/holder.go
@@ -20,6 +20,7 @@
 	helds       map[string]*Held
 	version     uint64
 	ends        time.Duration
+	more        bool // the last answer said that more is due once others have given it up
 }
 
 // NewHolder returns a holder that has joined nothing yet. The nonce tells this process from an earlier
@@ -58,6 +59,19 @@
 // Incarnation is this process's, 0 before it has joined.
 func (h *Holder) Incarnation() uint64 { return h.incarnation }
 
+// Early tells whether to ask before the usual time: the demand has moved, or more is due than was granted.
+func (h *Holder) Early(now time.Duration) bool {
+	if h.incarnation == 0 || h.more {
+		return h.more
+	}
+	for _, r := range h.rates {
+		if r.Moved(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Next is what to send now. Each call gives up the answers to all asks before it, so it may be called
 // again whenever an answer takes too long.
 func (h *Holder) Next(now time.Duration) ledger.Command {
@@ -88,7 +102,7 @@
 		// Pieces still held go on counting where they were granted, and in the next asks too. A rate's floor
 		// is kept under the old incarnation until its release: claimed by the new one too, it would be
 		// granted twice.
-		h.incarnation, h.seq = 0, 0
+		h.incarnation, h.seq, h.more = 0, 0, false
 		h.nonce++
 		for _, r := range h.rates {
 			r.Set(now, Grant{})
@@ -97,11 +111,12 @@
 	case err != nil || a.Incarnation != h.incarnation || a.Seq != h.seq:
 		return
 	}
-	h.version = a.Version
+	h.version, h.more = a.Version, false
 	h.ends = h.terms.Holder(h.asked)
 	until := h.terms.Until(h.asked)
 	for name, r := range h.rates {
 		s := a.Shares[name]
+		h.more = h.more || s.More
 		r.Set(now, Grant{Share: s.Amount, Floor: s.Floor, Burst: s.Burst, Ends: h.ends, Until: until})
 	}
 	for name, x := range h.helds {
--- a/internal/fleet/budget/model_test.go
+++ b/internal/fleet/budget/model_test.go
@@ -38,6 +38,10 @@
 	level, peak  float64 // of the meter: a bucket that leaks at the whole
 	at           time.Duration
 	admitted     int
+	asks         int
+	calls        float64 // admitted by one bucket for all, asked by a call for each job that takes no time
+	callLevel    float64
+	callAt       time.Duration
 	most, holds  int // pieces that may be held, and are
 	worst        int
 	broken       string
@@ -152,15 +156,31 @@
 	}
 }
 
+// ask asks at the usual pace, and early where the holder says so.
 func (p *proc) ask() {
 	p.send(p.h.Next(p.clock()))
-	p.run(p.w.terms.Lease/4+p.w.ms(0, 50), p.ask)
+	p.w.asks++
+	next := p.w.now + p.w.terms.Lease/4 + p.w.ms(0, 50)
+	var wait func()
+	wait = func() {
+		if p.w.now >= next || p.h.Early(p.clock()) {
+			p.ask()
+			return
+		}
+		p.run(p.w.terms.Lease/20, wait)
+	}
+	p.run(p.w.terms.Lease/20, wait)
 }
 
 // admit asks its budget for units one by one, at the rate that it wants.
 func (p *proc) admit() {
 	w := p.w
 	p.run(time.Duration(w.rng.ExpFloat64()/max(p.want, 0.5)*1e9), func() {
+		w.callLevel = max(0, w.callLevel-w.whole*(w.now-w.callAt).Seconds())
+		if w.callAt = w.now; w.callLevel+1 <= w.burst {
+			w.callLevel++
+			w.calls++
+		}
 		if ok, wait, never := p.h.Rate("rate").Take(p.clock(), Milli); ok {
 			w.count()
 		} else if !never && wait <= 0 {
@@ -376,8 +396,8 @@
 	for _, c := range []struct {
 		every time.Duration
 		least float64
-	}{{time.Second, 0.3}, {5 * time.Second, 0.7}, {20 * time.Second, 0.8}} {
-		used, split, n := 0.0, 0.0, 0
+	}{{time.Second, 0.45}, {5 * time.Second, 0.75}, {20 * time.Second, 0.8}} {
+		used, split, calls, asks, n := 0.0, 0.0, 0.0, 0.0, 0
 		for seed := range uint64(10) {
 			w := newWorld(seed, false, "")
 			w.shift(c.every)
@@ -385,10 +405,12 @@
 			require.Empty(t, w.broken, "seed %d", seed)
 			others := 0.05 * w.whole * float64(len(w.procs)-1)
 			used += float64(w.admitted) / 60 / w.whole
+			calls += w.calls / 60 / w.whole
+			asks += float64(w.asks) / 60 / float64(len(w.procs))
 			split += (w.whole/float64(len(w.procs)) + others) / w.whole
 			n++
 		}
-		t.Logf("moved every %v: %.3f of the whole used, %.3f with a fixed split", c.every, used/float64(n), split/float64(n))
+		t.Logf("moved every %v: %.3f of the whole used, %.3f with a fixed split, %.3f with a call for each, %.1f asks a lease of each", c.every, used/float64(n), split/float64(n), calls/float64(n), asks/float64(n))
 		require.Greater(t, used/float64(n), c.least)
 	}
 }
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -118,6 +118,7 @@
 	Amount int64 `json:"amount"`
 	Floor  int64 `json:"floor,omitempty"` // to be used after the lease has ended
 	Burst  int64 `json:"burst,omitempty"`
+	More   bool  `json:"more,omitempty"` // clearly more is due, once others have said that they hold less
 }
 
 // Answer is what a command came to.
@@ -242,7 +243,7 @@
 		case free >= 0 && holding-target <= holding/steady: // not worth moving
 			amount = holding
 		}
-		sh := Share{Amount: amount}
+		sh := Share{Amount: amount, More: target-amount > target/due}
 		if b.Kind == Rate {
 			if !b.Lend && s.newest(m.Name) == a.Incarnation {
 				sh.Floor = min(b.Parts[m.Name].Floor, amount)
@@ -271,6 +272,9 @@
 	return shares, nil
 }
 
+// due is the part of a share that is worth asking again for.
+const due = 8
+
 // steady is the part of a share that is not worth taking back.
 const steady = 32
 
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -22,6 +22,9 @@
 // than the lease less one period.
 const asks = 4
 
+// looks is how many times in a lease a member looks whether to ask early.
+const looks = 20
+
 // Options are a member's.
 type Options struct {
 	Name   string
@@ -141,9 +144,24 @@
 		if err != nil {
 			wait /= asks
 		}
+		m.rest(ctx, began.Add(wait), err == nil)
+	}
+}
+
+// rest waits until the next ask is due, or early where the holder says so and the last ask was answered.
+func (m *Member) rest(ctx context.Context, until time.Time, early bool) {
+	tick := time.NewTicker(m.o.Terms.Lease / looks)
+	defer tick.Stop()
+	for ctx.Err() == nil && time.Now().Before(until) {
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait - time.Since(began)):
+		case <-tick.C:
+			m.mu.Lock()
+			soon := early && m.holder.Early(m.o.Clock())
+			m.mu.Unlock()
+			if soon {
+				return
+			}
 		}
 	}
 }
