A voter that ends hands over its lead

Change: Voter.Close transfers the lead first, for at most one pace. Measured with a pace of 150 ms: led anew 4 to 20 ms after the word to end, 204 to 276 before; TestALeaderHandsOver fails with it left out (tried).

--- a/internal/fleet/quorum/quorum.go
+++ b/internal/fleet/quorum/quorum.go
@@ -288,6 +288,14 @@
 
 // Close ends the voter; its folder stays.
 func (v *Voter) Close() error {
+	if v.raft != nil && v.raft.State() == raft.Leader { // else the others have to miss it first
+		handed := make(chan error, 1)
+		go func() { handed <- v.raft.LeadershipTransfer().Error() }()
+		select {
+		case <-handed:
+		case <-time.After(v.o.Pace):
+		}
+	}
 	close(v.stop)
 	var errs []error
 	if v.raft != nil {
