Fleet budget of connections at each worker; rehearsals with all three budgets

Change: budget.Each bounds every worker alike by one grant; link.Pool asks a Limit before it opens and closes idle ones beyond it; a region without room for us counts as full, since nothing was sent. Held budgets have floors; what a lapsed holder of one kept is released after twice the linger, which has to reach to the workers' idle close. A dispatcher that leaves says so only once its connections have ended. Off: no Limit, one nil check a connection.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -137,6 +137,8 @@
 	Lease     time.Duration `default:"1s" help:"Of the fleet's shares."`
 	At        int           `default:"1" help:"Fleets at once."`
 	Out       string        `help:"Outcomes, a JSON line each." default:"rehearsals.jsonl" placeholder:"FILE"`
+	Repeats   float64       `default:"0" help:"A budget of so many repeats a second, with every other job failing; 0 for none."`
+	Sockets   int           `default:"0" help:"A budget of so many connections at each node; 0 for none."`
 	Keep      bool          `help:"Keep every fleet's logs and history, not only those of broken rules."`
 }
 
@@ -170,7 +172,11 @@
 			if err != nil {
 				return err
 			}
-			o, history, err := rig.Rehearse(ctx, rig.Plan{Options: rig.Options{Dir: dir, Program: []string{program, "serve"}, Voters: w.Voters, Members: w.Processes,
+			var repeats *rig.RepeatLimit
+			if w.Repeats > 0 {
+				repeats = &rig.RepeatLimit{Rate: w.Repeats, Burst: float64(2*w.Processes + 10), Share: 0.1, Saved: 1}
+			}
+			o, history, err := rig.Rehearse(ctx, rig.Plan{Options: rig.Options{Repeats: repeats, Connections: w.Sockets, Dir: dir, Program: []string{program, "serve"}, Voters: w.Voters, Members: w.Processes,
 				Room: 2 * w.Processes, Nodes: 4, Lease: w.Lease, Whole: 100, Burst: float64(2*w.Processes + 10), Floor: 1, Work: 10 * time.Millisecond},
 				Seed: w.Seed + uint64(i), Length: w.Length, Within: w.Within})
 			mu.Lock()
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -129,6 +129,11 @@
 		return err
 	}
 	regions := platform.NewRegions(core, r.Log, r.Dial, r.sockets-r.terminals)
+	if r.fleet != nil {
+		if l := r.fleet.Connections(); l != nil {
+			regions.Bound(l)
+		}
+	}
 	if r.table, err = r.start(r.inner, core, regions, r.Config.Discovery, r.Config.Known); err != nil {
 		return err
 	}
--- a/internal/fleet/budget/holder.go
+++ b/internal/fleet/budget/holder.go
@@ -17,7 +17,7 @@
 	seq         uint64
 	asked       time.Duration // when the last ask was made
 	rates       map[string]*Rate
-	helds       map[string]*Held
+	helds       map[string]pieces
 	version     uint64
 	ends        time.Duration
 	more        bool // the last answer said that more is due once others have given it up
@@ -26,7 +26,7 @@
 // NewHolder returns a holder that has joined nothing yet. The nonce tells this process from an earlier
 // or another one of its name: it has to be drawn anew for each.
 func NewHolder(fleet, name string, nonce uint64, t ledger.Terms) *Holder {
-	return &Holder{fleet: fleet, name: name, nonce: nonce, terms: t, rates: map[string]*Rate{}, helds: map[string]*Held{}}
+	return &Holder{fleet: fleet, name: name, nonce: nonce, terms: t, rates: map[string]*Rate{}, helds: map[string]pieces{}}
 }
 
 // Rate returns the rate of that name, which admits nothing before a grant of it has come.
@@ -41,14 +41,32 @@
 
 // Held returns the budget of pieces of that name, which admits nothing before a grant of it has come.
 func (h *Holder) Held(name string) *Held {
-	x := h.helds[name]
-	if x == nil {
+	x, ok := h.helds[name].(*Held)
+	if !ok {
 		x = &Held{}
 		h.helds[name] = x
 	}
 	return x
 }
 
+// Each returns the budget of pieces at each place of that name, which admits nothing before a grant of it has
+// come.
+func (h *Holder) Each(name string) *Each {
+	x, ok := h.helds[name].(*Each)
+	if !ok {
+		x = &Each{}
+		h.helds[name] = x
+	}
+	return x
+}
+
+// pieces is a budget of what is held at once.
+type pieces interface {
+	Set(now time.Duration, g Grant)
+	Holding(now time.Duration) int64
+	Demand(now time.Duration) int64
+}
+
 // Ends is when the lease ends; Version is that of the budgets last heard of; Incarnation is 0 before
 // the fleet has been joined.
 func (h *Holder) Ends() time.Duration { return h.ends }
@@ -120,6 +138,8 @@
 		r.Set(now, Grant{Share: s.Amount, Floor: s.Floor, Burst: s.Burst, Ends: h.ends, Until: until})
 	}
 	for name, x := range h.helds {
-		x.Set(now, Grant{Share: a.Shares[name].Amount, Ends: h.ends})
+		s := a.Shares[name]
+		h.more = h.more || s.More
+		x.Set(now, Grant{Share: s.Amount, Floor: s.Floor, Ends: h.ends, Until: until})
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"tinroute.example/tinroute/internal/fleet/member"
 	"tinroute.example/tinroute/internal/fleet/quorum"
 	"tinroute.example/tinroute/internal/fleet/rpc"
+	"tinroute.example/tinroute/internal/link"
 )
 
 // again is the wait between two tries to begin as a voter: during an upgrade the old process holds the
@@ -62,6 +63,7 @@
 		p.again, p.ratio = len(m.Rates), budget.Ratio{Part: r.Share, Most: r.Saved}
 		m.Rates = append(m.Rates, r.Budget)
 	}
+	m.Each = o.File.Each
 	var err error
 	if p.member, err = member.Start(m); err != nil {
 		return nil, err
@@ -121,6 +123,14 @@
 	return ok
 }
 
+// Connections bounds those at each worker, nil where no budget does.
+func (p *Part) Connections() link.Limit {
+	if p.o.File.Each == "" {
+		return nil
+	}
+	return p.member
+}
+
 // vote is a voter for as long as the part runs.
 func (p *Part) vote() {
 	told := ""
--- a/internal/fleet/ledger/keeper.go
+++ b/internal/fleet/ledger/keeper.go
@@ -61,13 +61,24 @@
 		switch wait := now - was.at; {
 		case !m.Lapsed && wait > k.stretch(k.Lease):
 			due = append(due, Command{Fleet: s.Fleet, Lapse: &Lapse{i, m.Seq}})
-		case m.Lapsed && wait > k.stretch(k.Linger):
+		case m.Lapsed && wait > k.stretch(k.lingers(s, m)):
 			due = append(due, Command{Fleet: s.Fleet, Release: &Release{i}})
 		}
 	}
 	return due
 }
 
+// lingers is how long what a lapsed member kept may be in use: pieces for as long as one lasts, and where it
+// may take pieces of a floor after its lease, until the last of these has ended too.
+func (k *Keeper) lingers(s *State, m *member) time.Duration {
+	for _, b := range s.budgets {
+		if b.Kind == Held && m.Floors[b.Name] > 0 {
+			return 2 * k.Linger
+		}
+	}
+	return k.Linger
+}
+
 func (k *Keeper) stretch(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + k.Drift))
 }
--- a/internal/fleet/ledger/state.go
+++ b/internal/fleet/ledger/state.go
@@ -244,11 +244,13 @@
 			amount = holding
 		}
 		sh := Share{Amount: amount, More: target-amount > target/due}
-		if b.Kind == Rate {
-			if !b.Lend && s.newest(m.Name) == a.Incarnation {
-				sh.Floor = min(b.Parts[m.Name].Floor, amount)
+		if !b.Lend && s.newest(m.Name) == a.Incarnation {
+			if sh.Floor = min(b.Parts[m.Name].Floor, amount); b.Kind == Held {
+				sh.Floor -= sh.Floor % milli
 			}
-			m.Floors[b.Name] = max(sh.Floor, min(m.Floors[b.Name], holding))
+		}
+		m.Floors[b.Name] = max(sh.Floor, min(m.Floors[b.Name], holding))
+		if b.Kind == Rate {
 			// The burst is a whole of its own, divided by the same rule.
 			m.Bursts[b.Name] = max(0, use.Burst)
 			sh.Burst = b.burst(amount, s.MostMembers)
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -32,6 +32,7 @@
 	Terms  ledger.Terms
 	Voters map[string]string    // addresses of the ledger's service by voter, as reached from here
 	Rates  []string             // the budgets that are used here, by name
+	Each   string               // the budget of connections at each worker, empty for none
 	Clock  func() time.Duration // neither steps nor stands still in a suspend
 	Log    *slog.Logger
 }
@@ -48,6 +49,7 @@
 	mu     sync.Mutex // guards the holder and what it holds
 	holder *budget.Holder
 	rates  []*budget.Rate // of Options.Rates
+	each   *budget.Each   // of Options.Each
 }
 
 // Start joins the fleet in the background. Until the first grant nothing is admitted.
@@ -65,6 +67,9 @@
 	for _, name := range o.Rates {
 		m.rates = append(m.rates, m.holder.Rate(name))
 	}
+	if o.Each != "" {
+		m.each = m.holder.Each(o.Each)
+	}
 	m.at = rand.IntN(len(m.names)) // #nosec: the first one listed must not be everyone's first
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
@@ -80,6 +85,27 @@
 	return m.rates[i].Take(m.o.Clock(), n)
 }
 
+// Open, Closed and Over are the budget of connections at each worker; they implement link.Limit.
+func (m *Member) Open(addr string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.each.Take(m.o.Clock(), addr)
+}
+
+// Closed gives a connection back.
+func (m *Member) Closed(addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.each.Give(addr)
+}
+
+// Over is how many connections at a worker are to be closed.
+func (m *Member) Over(addr string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return int((m.each.Over(m.o.Clock(), addr) + budget.Milli - 1) / budget.Milli)
+}
+
 // Use is how one of Options.Rates stands, in thousandths: the share a second, and what was admitted and
 // denied since the start.
 type Use struct {
@@ -199,6 +225,7 @@
 func (m *Member) Close() error {
 	m.stop()
 	m.done.Wait()
+	ended := m.connectionsEnded()
 	m.mu.Lock()
 	incarnation := m.holder.Incarnation()
 	m.holder = budget.NewHolder(m.o.Fleet, m.o.Name, 0, m.o.Terms)
@@ -206,7 +233,7 @@
 		m.rates[i] = m.holder.Rate(name)
 	}
 	m.mu.Unlock()
-	if incarnation != 0 {
+	if incarnation != 0 && ended { // else what it holds is free once its lease and linger are over
 		if _, err := m.do(context.Background(), m.o.Terms.Lease/asks, ledger.Command{Fleet: m.o.Fleet, Leave: &ledger.Leave{Incarnation: incarnation}}); err != nil {
 			m.o.Log.Info("left the fleet without a word", "err", err)
 		}
@@ -214,6 +241,22 @@
 	return m.closeClients()
 }
 
+// connectionsEnded opens no more connections, and waits for a short while until all have ended.
+func (m *Member) connectionsEnded() bool {
+	if m.each == nil {
+		return true
+	}
+	for end := time.Now().Add(m.o.Terms.Lease / asks); ; time.Sleep(m.o.Terms.Lease / asks / looks) {
+		m.mu.Lock()
+		m.each.Set(m.o.Clock(), budget.Grant{})
+		most := m.each.Most()
+		m.mu.Unlock()
+		if most == 0 || time.Now().After(end) {
+			return most == 0
+		}
+	}
+}
+
 func (m *Member) closeClients() error {
 	var errs []error
 	for _, c := range m.clients {
--- a/internal/lab/rig/history.go
+++ b/internal/lab/rig/history.go
@@ -154,6 +154,42 @@
 	return len(all), nil
 }
 
+// Connections finds an instant at which a node had more connections than it bears, and returns the most it
+// surely had. A connection is surely open from when the node has taken it until the last answer after which
+// another request came on it: its end may be seen late.
+func Connections(events []Event, whole int) (most int, err error) {
+	type span struct{ from, idle, to time.Duration }
+	spans := map[string]*span{}
+	nodes := map[string][]*span{}
+	for _, e := range events {
+		s := spans[e.ID]
+		switch e.What {
+		case "connection new":
+			s = &span{from: e.At, idle: -1, to: -1}
+			spans[e.ID] = s
+			nodes[e.Who] = append(nodes[e.Who], s)
+		case "connection idle":
+			s.idle = e.At
+		case "connection active":
+			s.to = s.idle
+		}
+	}
+	for node, all := range nodes {
+		for _, at := range all {
+			n := 0
+			for _, s := range all {
+				if s.from <= at.from && s.to >= at.from {
+					n++
+				}
+			}
+			if most = max(most, n); n > whole {
+				return most, fmt.Errorf("%v: %d connections at %s, which bears %d", at.from, n, node, whole)
+			}
+		}
+	}
+	return most, nil
+}
+
 // Answers finds a request that was answered twice, or as served without a node's result.
 func Answers(events []Event) error {
 	answered, ran := map[string]bool{}, map[string]bool{}
--- a/internal/lab/rig/history_test.go
+++ b/internal/lab/rig/history_test.go
@@ -54,6 +54,31 @@
 	require.NoError(t, err, "one earned by the first try")
 }
 
+func TestConnections(t *testing.T) {
+	var events []Event
+	at := func(ms int, what, id string) {
+		events = append(events, Event{At: time.Duration(ms) * time.Millisecond, What: "connection " + what, Who: "n", ID: id})
+	}
+	at(1, "new", "a")
+	at(1, "active", "a")
+	at(3, "idle", "a")
+	at(4, "new", "b")
+	at(4, "active", "b")
+	at(5, "idle", "b")
+	most, err := Connections(events, 1)
+	require.NoError(t, err, "the first may have ended by then")
+	require.Zero(t, most, "neither was surely open for longer than an instant")
+	at(6, "active", "a")
+	at(7, "idle", "a")
+	at(8, "active", "a")
+	at(9, "active", "b")
+	most, err = Connections(events, 2)
+	require.NoError(t, err)
+	require.Equal(t, 2, most)
+	_, err = Connections(events, 1)
+	require.ErrorContains(t, err, "2 connections at n")
+}
+
 func TestOtherCheckers(t *testing.T) {
 	require.Error(t, Answers([]Event{{What: "answered", ID: "a", Status: 200, Note: "r-a"}}), "served though no node ran it")
 	require.Error(t, Answers([]Event{{What: "answered", ID: "a", Status: 503}, {What: "answered", ID: "a", Status: 503}}))
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -14,10 +14,23 @@
 // which we close ours: a request that crosses the region's close ends as a reset.
 const idleShare = 0.6
 
+// limitEvery is how often connections beyond a Limit are looked for.
+const limitEvery = 100 * time.Millisecond
+
 // ErrFull is Get's answer when all connections that the pool may hold are in use. Nothing
 // has been sent then.
 var ErrFull = errors.New("too many open connections")
 
+// ErrHeld is Get's answer where the limit at the address leaves no room. Nothing has been sent then.
+var ErrHeld = errors.New("no more connections to this address for now")
+
+// Limit bounds the connections at each address by what others decide. Its methods must not block.
+type Limit interface {
+	Open(addr string) bool // asks for one more
+	Closed(addr string)    // one that was opened has ended
+	Over(addr string) int  // how many more are held than may be: so many idle ones are to be closed
+}
+
 // Pool keeps connections to regions, by address. One message exchange at a time travels on
 // a connection: Get takes it out of the pool and Put brings it back.
 type Pool[M any] struct {
@@ -26,6 +39,7 @@
 	connect time.Duration
 	idleFor time.Duration
 	most    int
+	limit   Limit // nil for none
 
 	mu     sync.Mutex
 	idle   []*Conn[M] // the longest idle first
@@ -55,6 +69,9 @@
 		idleFor: time.Duration(idleShare * float64(regionsIdle))}
 }
 
+// Bound has connections opened from now on within a limit. It is called before the first Get.
+func (p *Pool[M]) Bound(l Limit) { p.limit = l }
+
 // Get returns an idle connection, the one used last, or opens one. At the limit the
 // connection that has been idle longest makes room.
 func (p *Pool[M]) Get(ctx context.Context, addr string) (*Conn[M], error) {
@@ -67,9 +84,14 @@
 			return c, nil
 		}
 	}
+	if p.limit != nil && !p.limit.Open(addr) {
+		p.mu.Unlock()
+		return nil, ErrHeld
+	}
 	if p.open >= p.most {
 		if len(p.idle) == 0 {
 			p.mu.Unlock()
+			p.gone(addr)
 			return nil, ErrFull
 		}
 		_ = p.idle[0].Close()
@@ -84,6 +106,7 @@
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
+		p.gone(addr)
 		return nil, err
 	}
 	in := make(chan *M, 4)
@@ -92,11 +115,17 @@
 	return c, nil
 }
 
+func (p *Pool[M]) gone(addr string) {
+	if p.limit != nil {
+		p.limit.Closed(addr)
+	}
+}
+
 // Put makes a connection idle again.
 func (p *Pool[M]) Put(c *Conn[M]) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.ended || p.closed {
+	if c.ended || p.closed || p.limit != nil && p.limit.Over(c.addr) > 0 {
 		_ = c.Close()
 		return
 	}
@@ -109,6 +138,7 @@
 	defer func() {
 		_ = c.Close()
 		p := c.pool
+		defer p.gone(c.addr) // the connection has been closed by now
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		c.ended = true
@@ -166,7 +196,11 @@
 // Sweep closes connections that have been idle for long, and all idle ones when the
 // context ends.
 func (p *Pool[M]) Sweep(ctx context.Context) {
-	tick := time.NewTicker(max(p.idleFor/8, time.Millisecond))
+	every := max(p.idleFor/8, time.Millisecond)
+	if p.limit != nil {
+		every = min(every, limitEvery)
+	}
+	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
 		select {
@@ -179,10 +213,17 @@
 			return
 		}
 		p.mu.Lock()
+		over := map[string]int{}
 		for _, c := range p.idle {
-			if time.Since(c.since) >= p.idleFor {
+			n, asked := over[c.addr]
+			if !asked && p.limit != nil {
+				n = p.limit.Over(c.addr)
+			}
+			if n > 0 || time.Since(c.since) >= p.idleFor {
 				_ = c.Close()
+				n--
 			}
+			over[c.addr] = n
 		}
 		p.mu.Unlock()
 	}
--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,3 +113,90 @@
 		}
 	})
 }
+
+// few allows so many connections to each address.
+type few struct {
+	mu   sync.Mutex
+	most int
+	held map[string]int
+}
+
+func (f *few) Open(addr string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.held[addr] >= f.most {
+		return false
+	}
+	f.held[addr]++
+	return true
+}
+
+func (f *few) Closed(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held[addr]--
+}
+
+func (f *few) Over(addr string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(0, f.held[addr]-f.most)
+}
+
+func (f *few) now(addr string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.held[addr]
+}
+
+func (f *few) set(most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.most = most
+}
+
+// A limit from outside bounds each address; when it shrinks idle connections beyond it are closed, no more of
+// them than that, and one in use once it comes back. Every connection that ends is given back.
+func TestPoolKeepsToALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		dial := func(_ context.Context, _, addr string) (net.Conn, error) {
+			if addr == "none" {
+				return nil, errors.New("refused")
+			}
+			near, _ := net.Pipe()
+			return near, nil
+		}
+		p := NewPool(dial, func() Framer[string] { return &lines{} }, 250*time.Millisecond, 10*time.Second, 9)
+		f := &few{most: 3, held: map[string]int{}}
+		p.Bound(f)
+		go p.Sweep(ctx)
+		var all []*Conn[string]
+		for range 3 {
+			all = append(all, get(t, p, "a"))
+		}
+		_, err := p.Get(ctx, "a")
+		require.ErrorIs(t, err, ErrHeld)
+		p.Put(get(t, p, "b"))
+		_, err = p.Get(ctx, "none")
+		require.Error(t, err)
+		require.Zero(t, f.now("none"), "one that never came up is given back")
+
+		p.Put(all[0])
+		p.Put(all[1])
+		f.set(2)
+		time.Sleep(2 * limitEvery)
+		synctest.Wait()
+		require.Equal(t, 2, f.now("a"), "one of two idle ones is closed")
+		f.set(0)
+		time.Sleep(2 * limitEvery)
+		synctest.Wait()
+		require.Equal(t, 1, f.now("a"), "the one in use stays")
+		p.Put(all[2])
+		synctest.Wait()
+		require.Zero(t, f.now("a"))
+		require.Zero(t, f.now("b"))
+		stop()
+		synctest.Wait()
+	})
+}
--- a/internal/platform/regions.go
+++ b/internal/platform/regions.go
@@ -58,6 +58,9 @@
 // Run keeps the pool tidy until the context ends.
 func (r *Regions) Run(ctx context.Context) { r.pool.Sweep(ctx) }
 
+// Bound has connections to regions opened within a limit. It is called before Run.
+func (r *Regions) Bound(l link.Limit) { r.pool.Bound(l) }
+
 // Start carries a routed task to its region.
 func (r *Regions) Start(t *dispatch.Task) {
 	ctx, stop := context.WithCancel(context.Background())
@@ -82,6 +85,10 @@
 			r.end(c, balance.StatusMoot, nil)
 			return
 		}
+		if errors.Is(err, link.ErrHeld) { // the region has no room for us: nothing was sent
+			r.end(c, balance.StatusFull, nil)
+			return
+		}
 		r.say(c, "region unreachable", err)
 		r.end(c, balance.StatusUnreachable, nil)
 		return
