Policy: a crowd sends a cold worker at most half of what pushes it over

The told kept to 0.7 of that (coldBears), so that a third from those not yet told makes a fall of which over two thirds is ours: 0.7 is over 2/3 by itself. Probe: TestCrowdKeepsEveryWindow with its bound at two thirds fails at 0.7 (2.85 of 3.98) and at 0.533 (17.14 of 25.57, means learned apart by a quarter). Change: half of it in a crowd.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -398,13 +398,15 @@
 }
 
 // coldBears is the work, in seconds at the worker, that all dispatchers together may send a
-// cold worker in one window: 0.7 of what pushes it over, against estimates that are off. Among
-// few that is what the settings name, among many also the slack for chance that goes with it.
+// cold worker in one window. Among few that is 0.7 of what the settings name, against estimates
+// that are off. Among many there is the slack for chance that goes with it; but those that have not
+// been told of its start send too, and a fall is ours where over two thirds came from the told: we
+// keep to that, less a quarter for estimates that are off.
 func (b *Balancer) coldBears(w *worker, age time.Duration, mean float64) float64 {
 	share := b.s.ColdFrom + (1-b.s.ColdFrom)*float64(max(0, age-b.s.FallSpan))/float64(b.s.WarmUp)
 	n := b.s.FallFactor * share * b.estimate(w) * b.s.FallSpan.Seconds()
 	if b.crowd {
-		n += 3*math.Sqrt(n*mean) + 3*mean
+		return 0.5 * (n + 3*math.Sqrt(n*mean) + 3*mean)
 	}
 	return 0.7 * n
 }
--- a/balance/crowd_test.go
+++ b/balance/crowd_test.go
@@ -92,8 +92,9 @@
 func pushesOver(n, mean float64) float64 { return n + 3*math.Sqrt(n*mean) + 3*mean }
 
 // Whatever the fleet's size, the worker's size and age, and however greedy all dispatchers are at
-// once, with jobs of any sizes and with means learned apart: no window holds what pushes a cold
-// worker over, and in none that is whole does most of the allowance have no owner.
+// once, with jobs of any sizes and with means learned apart: no window holds two thirds of what pushes
+// a cold worker over, so that no fall, with what those send that were not told of its start, is mostly
+// ours; and in none that is whole does most of the allowance have no owner.
 func TestCrowdKeepsEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := settings()
@@ -144,12 +145,12 @@
 			}
 			age := a.at - start.Seconds()
 			over := pushesOver(s.FallFactor*weight*span*(s.ColdFrom+(1-s.ColdFrom)*age/s.WarmUp.Seconds()), mean)
-			if sum > 0.9*over {
+			if sum > 2.0/3*over {
 				t.Fatalf("window from %.2f s: %.2f of work, %.2f pushes it over", age, sum, over)
 			}
 			most = max(most, sum/over)
 		}
-		if largest < 0.8 && most < 0.4 {
+		if largest < 0.8 && most < 0.3 {
 			t.Fatalf("all greedy, and at most %.2f of what pushes it over", most)
 		}
 	})
