--- a/internal/cli/budgets.go
+++ b/internal/cli/budgets.go
@@ -28,11 +28,7 @@
 
 // Run asks the leader.
 func (w *fleetBudgetsShow) Run(r *run) error {
-	f, err := w.load(r)
-	if err != nil {
-		return err
-	}
-	o, err := lookAtLeader(f)
+	_, o, err := w.leader(r)
 	if err != nil {
 		return err
 	}
@@ -55,11 +51,7 @@
 // Run puts the change to the leader as the version after the one it holds. Another change between the two
 // makes it fail: then neither is lost.
 func (w *fleetBudgetsSet) Run(r *run) error {
-	f, err := w.load(r)
-	if err != nil {
-		return err
-	}
-	o, err := lookAtLeader(f)
+	f, o, err := w.leader(r)
 	if err != nil {
 		return err
 	}
@@ -142,6 +134,16 @@
 	return b, nil
 }
 
+// leader reads the fleet's file and asks who leads.
+func (w *fleetFile) leader(r *run) (*config.Fleet, ledger.Overview, error) {
+	f, err := w.load(r)
+	if err != nil {
+		return nil, ledger.Overview{}, err
+	}
+	o, err := lookAtLeader(f)
+	return f, o, err
+}
+
 // lookAtLeader asks the voters until one that leads has answered.
 func lookAtLeader(f *config.Fleet) (ledger.Overview, error) {
 	var errs []error
