--- a/internal/fleet/quorum/disk_test.go
+++ b/internal/fleet/quorum/disk_test.go
@@ -84,3 +84,12 @@
 	require.Positive(t, turned)
 	t.Logf("%d of 60 turned down", turned)
 }
+
+// A folder of another generation is turned down by name, before its log is handed to the library.
+func TestAFolderOfAnotherGeneration(t *testing.T) {
+	v := one(t)
+	_, err := Start(Options{Begin: true, Name: "n0", Voters: v.addrs, Dir: filepath.Join(v.dir, "n0"), Clock: clock,
+		Fleet: ledger.Settings{Fleet: "f", Generation: 2, MostMembers: 8}})
+	require.ErrorIs(t, err, ErrGeneration)
+	require.ErrorContains(t, err, "the folder is of f/1/, this is f/2/")
+}
