Faulty configuration names file and line; gaps of lists by fleet size; more crossings forced

A JSON configuration that is faulty named its key alone, at the start and at SIGHUP: the file and the line stand before it now, also of one class among several. Signals are registered before the files are read.

A message that comes once the last answer is given is not taken (it was counted as in work until the close).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,7 +41,7 @@
 		b.askGap = max(firstRetry, min(2*b.askGap, b.askMost()))
 		// Dispatchers that started together would ask again together, and a list service that
 		// turns callers away would meet the same herd each time: each waits its own share.
-		b.askAgain = now + b.askGap/2 + time.Duration(b.rng.Int64N(int64(b.askGap)))
+		b.askAgain = now + b.askGap/2 + time.Duration(b.rng.Int64N(int64(b.askGap/2)))
 		b.schedule()
 		return
 	}
--- a/balance/danger_test.go
+++ b/balance/danger_test.go
@@ -440,12 +440,12 @@
 	}
 	// A change counts as told 6 s after discovery could be reached: few dispatchers ask often enough
 	// for that; many keep an overbooked discovery from ever answering if they do.
-	for fleet, most := range map[int]time.Duration{1: time.Second, crowded: time.Second, crowded + 1: 4 * time.Second} {
+	for fleet, most := range map[int]time.Duration{1: time.Second, 25: time.Second, 50: 2 * time.Second, 300: 4 * time.Second} {
 		gaps := gapsOf(fleet, 1)
 		for i, gap := range gaps { // each is its own share of a doubling gap, up to the most
 			nominal := min(firstRetry<<i, most, settings().AskWithin/2)
-			if gap < nominal/2 || gap > nominal*3/2+5*ms {
-				t.Fatalf("%d dispatchers: gap %d of %v, %v: not within half of %v", fleet, i, gaps, gap, nominal)
+			if gap < nominal/2 || gap > nominal+5*ms {
+				t.Fatalf("%d dispatchers: gap %d of %v, %v: not from half of %v to all of it", fleet, i, gaps, gap, nominal)
 			}
 		}
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -506,15 +506,12 @@
 	return b.turns
 }
 
-// askMost is the longest usual gap between inquiries that fail. Whatever discovery has had for 6 s
-// while it could be reached counts as told, heard or not, so a gap must leave time for a call that
-// is under way as discovery returns and for the next one. A crowd's calls would keep an overbooked
-// discovery overbooked: its gaps are longer.
+// askMost is the longest gap between inquiries that fail. Whatever discovery has had for 6 s while it
+// could be reached counts as told, heard or not, so a gap must leave time for a call that is under way
+// as discovery returns and for the next one. Calls of a large fleet would keep an overbooked discovery
+// overbooked: its gaps grow with it.
 func (b *Balancer) askMost() time.Duration {
-	most := time.Second
-	if b.s.Fleet > crowded {
-		most = 4 * time.Second
-	}
+	most := min(max(time.Second, time.Duration(b.s.Fleet)*40*time.Millisecond), 4*time.Second)
 	if b.s.AskWithin > 0 {
 		return min(most, b.s.AskWithin/2)
 	}
--- /dev/null
+++ b/dispatch/patience_test.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tinroute.example/tinroute/balance"
+)
+
+// patiencePolicy notes how long each request's client still has.
+type patiencePolicy struct {
+	Policy
+	left []time.Duration
+}
+
+func (p *patiencePolicy) Request(_ time.Duration, j balance.Job) { p.left = append(p.left, j.Patience) }
+func (p *patiencePolicy) Gone(time.Duration, balance.JobID)      {}
+
+// A client's patience runs from when its request was submitted, also while the core has no time for
+// it: an attempt would be told more time than is left, and the answer would come too late.
+func TestPatienceRunsWhileTheCoreIsBusy(t *testing.T) {
+	const patience, busy = 5 * time.Second, 300 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		p := &patiencePolicy{}
+		settings := balance.Settings{Fleet: 1, MaxAttempts: 3, Classes: []balance.Class{{Name: "price-read", Deadline: patience, Kind: -1}}}
+		core, err := New(Options{Settings: settings, Policy: func(balance.Settings, balance.Host) (Policy, error) { return p, nil }})
+		require.NoError(t, err)
+		go core.Run(t.Context())
+		go core.Do(func() { time.Sleep(busy) })
+		synctest.Wait()
+		began := time.Now()
+		answered := &fleet{}
+		core.Submit(&Transaction{ID: "1", Tenant: -1, Patience: patience, Slots: 1, Terminal: answered})
+		time.Sleep(busy)
+		synctest.Wait()
+		require.Equal(t, []time.Duration{patience - busy}, p.left)
+		for len(answered.answers) == 0 {
+			time.Sleep(time.Millisecond)
+			synctest.Wait()
+		}
+		require.Less(t, time.Since(began), patience+2*overdue)
+	})
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -162,14 +162,15 @@
 
 // Run serves until SIGTERM or SIGINT; SIGHUP has the files read again.
 func (w *serve) Run(r *run) error {
-	s, err := w.read(r.Getenv, config.Load)
-	if err != nil {
-		return err
-	}
+	// Signals first: one that came while the files are read would end the process by its default.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	hangup := make(chan os.Signal, 1) // one that waits stands for any that follow
 	signal.Notify(hangup, syscall.SIGHUP)
+	s, err := w.read(r.Getenv, config.Load)
+	if err != nil {
+		return err
+	}
 	d := &daemon.Daemon{Config: s.config, Gearman: s.gearman, Telemetry: s.telemetry, Fleet: s.fleet, Log: r.log, Hangup: hangup,
 		Reread: func() (daemon.Files, error) {
 			s, err := w.read(r.Getenv, config.Reload)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -65,7 +65,7 @@
 	}
 	c, err := Parse(data)
 	if err != nil {
-		return nil, err
+		return nil, located(path, data, err)
 	}
 	c.Name = cmp.Or(getenv("LB_NAME"), c.Name)
 	c.Listen = cmp.Or(getenv("LB_LISTEN"), c.Listen)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -77,6 +77,28 @@
 	require.ErrorContains(t, err, "discovery")
 }
 
+// In the file that $LB_CONFIG names the faulty line is named too, also of one class among several.
+func TestErrorsNameTheLine(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	load := func(text string) error {
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		_, err := Load(func(k string) string { return map[string]string{"LB_CONFIG": file, "LB_LISTEN": "x"}[k] })
+		return err
+	}
+	for text, want := range map[string]string{
+		"{\n\"name\": 7}":                                                                        ":2: configuration: name: not text",
+		"{\"limits\": {\n\n\"cores\": 0}}":                                                       ":3: limits.cores: 0 is not above 0",
+		"{\"settings\": {\n\"tick_s\": \"soon\"}}":                                               ":2: settings: tick_s: not a number",
+		"{\"settings\": {\"limits\": {\n\"cancel\": 1}}}":                                        ":2: settings: cancel: not true or false",
+		"{\"settings\": {\"limits\":\n{\"dial_timeout_s\":0}}}":                                  ":2: settings: limits.dial_timeout_s: not above 0",
+		"{\"settings\": {\"classes\": [{\"repeat\": \"retryable\"},\n{\"repeat\": \"maybe\"}]}}": ":2: settings: repeat: unknown value",
+		"{\"name\": \"x\",\n\"listen\" \"y\"}":                                                   ":2: configuration: ",
+	} {
+		require.ErrorContains(t, load(text), file+want, "%s", text)
+	}
+	require.ErrorContains(t, load("{}"), file+": settings: missing")
+}
+
 func TestGearman(t *testing.T) {
 	c, err := Parse([]byte(example(t)))
 	require.NoError(t, err)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -2,8 +2,9 @@
 
 import (
 	"errors"
-	"fmt"
 	"math"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -14,15 +15,31 @@
 // facts reads the settings object, remembering the first key that is missing or
 // of the wrong type. Unknown keys are left alone.
 type facts struct {
-	err error
+	err    error
+	within []string // where in the file the object that is read stands
 }
 
 func (f *facts) fail(key, why string) {
 	if f.err == nil {
-		f.err = fmt.Errorf("%s: %s", key, why)
+		f.err = &keyError{append(slices.Clone(f.within), key), why}
 	}
 }
 
+// failAt is fail for a key of a nested object, by its path.
+func (f *facts) failAt(path []string, why string) {
+	if f.err == nil {
+		f.err = &keyError{append(slices.Clone(f.within), path...), why}
+	}
+}
+
+// element reads one element of an array.
+func (f *facts) element(key string, i int, read func()) {
+	outside := f.within
+	f.within = append(slices.Clone(outside), key, strconv.Itoa(i))
+	read()
+	f.within = outside
+}
+
 func (f *facts) number(v *fastjson.Value, fallback float64, path ...string) float64 {
 	x := v.Get(path...)
 	if x == nil || x.Type() == fastjson.TypeNull {
@@ -30,7 +47,7 @@
 	}
 	n, err := x.Float64()
 	if err != nil {
-		f.fail(path[len(path)-1], "not a number")
+		f.failAt(path, "not a number")
 	}
 	return n
 }
@@ -47,7 +64,7 @@
 	}
 	b, err := x.Bool()
 	if err != nil {
-		f.fail(path[len(path)-1], "not true or false")
+		f.failAt(path, "not true or false")
 	}
 	return b
 }
@@ -59,7 +76,7 @@
 	}
 	b, err := x.StringBytes()
 	if err != nil {
-		f.fail(path[len(path)-1], "not text")
+		f.failAt(path, "not text")
 	}
 	return string(b)
 }
@@ -121,7 +138,7 @@
 	if v == nil || v.Type() != fastjson.TypeObject {
 		return nil, nil, errors.New("not an object")
 	}
-	f := &facts{}
+	f := &facts{within: []string{"settings"}}
 	n := &Names{Class: map[string]int{}, Zone: f.names(v, "zones"), Kind: f.names(v, "kinds"),
 		Tenant: map[string]int{}}
 	s := f.settings(v)
@@ -156,11 +173,13 @@
 		MaxOpen:   int(f.number(v, 0, "limits", "max_open")),
 		GoalWhole: f.number(v, 0, "goal", "whole"), GoalWorstClass: f.number(v, 0, "goal", "worst_class"),
 	}
-	for _, c := range f.list(v, "classes") {
-		s.Classes = append(s.Classes, f.class(c))
+	for i, c := range f.list(v, "classes") {
+		f.element("classes", i, func() { s.Classes = append(s.Classes, f.class(c)) })
 	}
-	for _, t := range f.list(v, "accounts") {
-		s.Tenants = append(s.Tenants, balance.Tenant{Name: f.text(t, "name"), Quota: f.number(t, 0, "quota_rps")})
+	for i, t := range f.list(v, "accounts") {
+		f.element("accounts", i, func() {
+			s.Tenants = append(s.Tenants, balance.Tenant{Name: f.text(t, "name"), Quota: f.number(t, 0, "quota_rps")})
+		})
 	}
 	if domain := v.Get("domain"); domain != nil {
 		f.perClass(domain, "class_kind", s, func(c *balance.Class, x float64) { c.Kind = int(x) })
--- a/internal/daemon/scenario_test.go
+++ b/internal/daemon/scenario_test.go
@@ -41,7 +41,9 @@
 //	send dispatcher START      it is started again, once it has ended, with the store that it had
 //	send 1 PACKET ARGS ...     a Gearman client sends a packet, as internal/conform writes it
 //	expect 1 PACKET ARGS ...   ... and is sent one
-//	send dispatcher HUP NAME   ... to read its files again, which name this discovery, or are "faulty";
+//	send dispatcher HUP NAME [renamed]
+//	                           ... to read its files again, which name this discovery, or are "faulty",
+//	                           and may give every class another name;
 //	                           "table" is this one from now on, and "old" the one before
 //	send 1 raw "TEXT"          a connection of client 1 carries these bytes
 //	expect 1 raw "TEXT"        ... and is answered with bytes that hold these
@@ -61,6 +63,7 @@
 	old     *table
 	hangup  chan os.Signal
 	reread  string // the discovery that the files name
+	renamed bool   // and they give every class another name
 	regions map[string]*region
 	clients map[string]net.Conn
 	bound   map[string]string
@@ -172,6 +175,7 @@
 		if w.reread = f[3]; f[3] != "faulty" {
 			w.old, w.table = w.table, newTable(w, f[3])
 		}
+		w.renamed = len(f) > 4 && f[4] == "renamed"
 		w.hangup <- syscall.SIGHUP
 	case f[0] == "send" && who == "dispatcher" && f[2] == "START":
 		w.run()
@@ -348,6 +352,11 @@
 			return Files{}, errors.New("discovery: missing")
 		}
 		c := *d.Config
+		if w.renamed {
+			other, err := config.Parse([]byte(strings.NewReplacer("price-read", "price-look", "price-fix", "price-mend").Replace(settings)))
+			require.NoError(t, err)
+			c.Settings, c.Names, c.Limits = other.Settings, other.Names, other.Limits
+		}
 		if c.Discovery = w.reread; d.Gearman == nil {
 			return Files{Config: &c}, nil
 		}
@@ -389,6 +398,37 @@
 	w.settle()
 }
 
+// A file that names other classes, tenants and limits at SIGHUP changes nothing but discovery's
+// address: a request that is open keeps the class it came with, and those that come are known by the
+// names of the start.
+func TestAReloadThatRenamesClassesChangesNothing(t *testing.T) {
+	for name, wr := range map[string]func() wire{"http": func() wire { return &httpWire{} }, "gearman": func() wire { return &gearmanWire{} }} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				play(t, renaming, &memory{}, wr(), true)
+			})
+		})
+	}
+}
+
+const renaming = `regions a/0
+send 1 price-fix
+expect a task 1
+send dispatcher HUP second renamed
+wait 50ms
+send a done 1
+expect 1 served
+send 2 price-read
+expect a task 2
+send a done 2
+expect 2 served
+# Under the names of the file that was read again there is nothing.
+send 3 price-look
+wait 50ms
+expect 3 unfit
+expect none
+`
+
 // Each scenario is played on both fronts: on an in-memory network by a fake clock and, where
 // it is short, over TCP on the loopback address by the real one. The same things must
 // happen equally often.
--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -494,7 +494,9 @@
 		case gearman.WorkFail:
 			verdict = "failed"
 		case gearman.Error:
-			verdict = fmt.Sprintf("odd-answer %q", p.Body)
+			if verdict = "unfit"; !strings.HasPrefix(string(p.Body), "unknown_function") {
+				verdict = fmt.Sprintf("odd-answer %q", p.Body)
+			}
 		}
 		return verdict == ""
 	})
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -116,6 +116,11 @@
 // hand passes a message on to be served. While it waits for that nothing is read, and the end of the
 // stream is behind what the client has sent beside: so the system is asked for it.
 func (t *terminal) hand(m *Message) bool {
+	select {
+	case <-t.quit: // the last answer is given: what comes now is not taken
+		return false
+	default:
+	}
 	select {
 	case t.in <- m:
 		return true
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -26,9 +26,9 @@
 	// fails calls each failure doubles that, up to watchLong, since shorter watches are more calls.
 	watchShort = 4 * time.Second
 	watchLong  = 20 * time.Second
-	// Up to smallFleet dispatchers are no such load: their watches stay short, as one that falls
-	// silent after a failed call is seen in time then.
-	smallFleet = 24
+	// A few dispatchers are no such load, and a long watch that falls silent after a failed call is not
+	// seen in time: the longest watch is watchEach for each dispatcher of the fleet.
+	watchEach = 60 * time.Millisecond
 	// callWait is for the answer of a call that does not wait: discovery takes calls one after
 	// another, and turns those away that have waited for 2 s.
 	callWait = 2500 * time.Millisecond
@@ -75,10 +75,7 @@
 	if within := core.Settings().AskWithin; within > 0 { // past it the rules take a change for told
 		short = min(short, within*2/5)
 	}
-	long := watchLong
-	if core.Settings().Fleet <= smallFleet {
-		long = short
-	}
+	long := min(watchLong, max(short, time.Duration(core.Settings().Fleet)*watchEach))
 	return &Table{core: core, log: log, names: names, dial: dial, short: short, long: long, addr: addr, next: addr, ask: make(chan bool, 2)}
 }
 
--- a/internal/platform/table_test.go
+++ b/internal/platform/table_test.go
@@ -220,7 +220,7 @@
 // Shorter watches are more calls, which a discovery that turns callers away must not meet; and
 // dispatchers whose watches end together must not come back together.
 func TestTableWatchesLongerWhereDiscoveryFails(t *testing.T) {
-	d := &discovery{fleet: smallFleet + 1, answers: []string{whole, "503", "503", "503", "503", whole, "held", "held", "held", "held", "held", "held"}}
+	d := &discovery{fleet: 324, answers: []string{whole, "503", "503", "503", "503", whole, "held", "held", "held", "held", "held", "held"}}
 	play(t, d, 2*time.Minute)
 	ms := d.waits()
 	require.GreaterOrEqual(t, len(ms), 6, "calls: %q", d.paths)
@@ -233,7 +233,7 @@
 // The calls of a few dispatchers are no such load. A long watch of theirs that fell silent would miss
 // what counts as told 6 s after it could have been had, since a call failed before.
 func TestTableOfASmallFleetWatchesNoLongerAfterFailures(t *testing.T) {
-	d := &discovery{fleet: smallFleet, answers: []string{whole, "503", "503", "503", "503", whole, "held", "held", "held"}}
+	d := &discovery{fleet: 30, answers: []string{whole, "503", "503", "503", "503", whole, "held", "held", "held"}}
 	play(t, d, time.Minute)
 	require.GreaterOrEqual(t, len(d.waits()), 3, "calls: %q", d.paths)
 	require.LessOrEqual(t, slices.Max(d.waits()), 4000)
