--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -10,116 +11,6 @@
 
 // This file holds the state that the policy keeps, and plain arithmetic on it.
 
-type worker struct {
-	Member
-	slots       float64 // estimated size
-	used        float64 // slots of own attempts out
-	usedMem     float64
-	running     float64 // of used: told to have started
-	waiting     int     // own attempts not told to have started
-	peers       []byte  // what each peer holds here; see tellPeers
-	told        byte
-	dirty       bool
-	others      float64 // slots held by unseen dispatchers, where reports show them
-	otherMem    float64
-	reported    float64 // mean size by reports ...
-	reports     float64 // ... and how many of them count
-	size        float64 // decayed sum of log slowness ...
-	count       float64 // ... and its weight
-	slowness    float64 // the mean of them as it was at the last look
-	slowUntil   time.Duration
-	peerRunning float64 // slots that peers told of: running ...
-	peerHeld    float64 // ... and all
-	sized       time.Duration
-	lag         float64 // least recent time from send to start, seconds
-	errors      float64 // smoothed share of errors
-	strikes     int
-	held        time.Duration // no ordinary work before this
-	nextTry     time.Duration // when room may be tried for beyond the estimate
-	spent       []spending
-	probed      time.Duration
-	probing     bool
-	sure        float64 // odds of a free slot by the last evidence ...
-	sureAt      time.Duration
-	sign        int
-	group       *group
-	keys        [8]string // met last
-	nextKey     int
-	gone        time.Duration // last listed as there
-}
-
-// knows tells whether a worker lately had a job of the key, and so may hold what the
-// key needs.
-func (w *worker) knows(key string) bool { return key != "" && slices.Contains(w.keys[:], key) }
-
-func (w *worker) learnKey(key string) {
-	if key != "" && !w.knows(key) {
-		w.keys[w.nextKey%len(w.keys)] = key
-		w.nextKey++
-	}
-}
-
-// The signs of room where most slots are in unseen hands.
-const (
-	signNone = iota
-	signEnd  // a job of ours ended there
-	signOne  // the worker tells of a free slot
-	signMany // ... of more
-	signLent // another dispatcher gave its sign
-	signs
-)
-
-type spending struct {
-	at   time.Duration
-	cost float64
-}
-
-type attempt struct {
-	j           *job
-	no          int
-	w           *worker
-	sent, begun time.Duration
-	noted       time.Duration // last sign of progress
-	share       float64
-	started     bool
-	stuck       bool
-	sign        int // of room, that it was sent by
-	cancelled   bool
-	done        bool
-	ran         bool // may have had an effect
-	sampled     bool
-	keyed       bool // the worker had met the job's key
-	beyond      bool // sent past the worker's estimate
-	unreached   bool // no connection came up: nothing of it arrived
-}
-
-type job struct {
-	Job
-	c        *class
-	born     time.Duration // when the client first asked, as far as patience tells
-	end      time.Duration // patience ends
-	attempts []*attempt
-	out      int
-	queued   bool
-	worth    float64 // of an answer in time
-	over     bool
-	stream   bool
-	hold     time.Duration // not sent blindly before
-	unfit    bool          // no job that any worker could serve
-	paid     bool          // the budget of repeats has been asked for the next attempt
-	earlier  *attempt      // from before the Request; see Job.Earlier
-}
-
-type class struct {
-	Class
-	logMean, logVar, mean, n float64
-	ended, inTime            float64 // jobs, or work, answered; and served in time
-}
-
-// guess is what a job of the class is taken for before any was seen: small beside its clients'
-// patience. All dispatchers guess alike.
-func (c *Class) guess() float64 { return c.Deadline.Seconds() / 12 }
-
 // guess is the mean of the classes' guesses, in seconds.
 func (b *Balancer) guess() (mean float64) {
 	for i := range b.s.Classes {
@@ -200,12 +91,6 @@
 	logged        map[string]time.Duration
 }
 
-// tenant is a bucket that fills at this dispatcher's part of the tenant's quota.
-type tenant struct {
-	tokens float64
-	at     time.Duration
-}
-
 // share is 1 for a job within its tenant's quota, else what is left of its worth.
 func (b *Balancer) share(t int) float64 {
 	if t < 0 || t >= len(b.tenants) {
@@ -222,13 +107,6 @@
 	return 1
 }
 
-// group is what is known of all workers of one kind in one zone.
-type group struct {
-	kind, zone int
-	usual      float64 // smoothed share of sends that find a free slot
-	lag        float64 // least recent time from send to start, seconds
-}
-
 // groupOf returns the group of a worker.
 func (b *Balancer) groupOf(m *Member) *group {
 	for _, g := range b.groups {
@@ -241,14 +119,6 @@
 	return g
 }
 
-type kind struct {
-	slots  float64   // mean size, of those seen
-	sum, n float64   // log slowness over the kind
-	window []float64 // slowness samples
-	next   int
-	limit  []float64 // threshold of copies to each kind, in job sizes
-}
-
 // New returns a Balancer for the settings, or an error that names the setting
 // that makes no sense.
 func New(s Settings, h Host) (*Balancer, error) {
@@ -295,15 +165,15 @@
 func (s *Settings) check() error {
 	switch {
 	case len(s.Classes) == 0:
-		return fmt.Errorf("Classes: none")
+		return errors.New("no Classes")
 	case s.Fleet < 1 || s.Position < 0 || s.Position >= s.Fleet:
-		return fmt.Errorf("Position, Fleet: %d of %d", s.Position, s.Fleet)
+		return fmt.Errorf("bad Position, Fleet: %d of %d", s.Position, s.Fleet)
 	case s.MaxAttempts < 1:
-		return fmt.Errorf("MaxAttempts: %d", s.MaxAttempts)
+		return fmt.Errorf("bad MaxAttempts: %d", s.MaxAttempts)
 	case s.Kinds < 0:
-		return fmt.Errorf("Kinds: negative: %d", s.Kinds)
+		return fmt.Errorf("negative Kinds: %d", s.Kinds)
 	case s.ColdFrom < 0 || s.ColdFrom > 1 || s.FallFactor < 0:
-		return fmt.Errorf("ColdFrom, FallFactor: %v, %v", s.ColdFrom, s.FallFactor)
+		return fmt.Errorf("bad ColdFrom, FallFactor: %v, %v", s.ColdFrom, s.FallFactor)
 	}
 	for _, d := range []struct {
 		name string
@@ -316,10 +186,10 @@
 	}
 	for i, c := range s.Classes {
 		if c.Effect > Unsafe || c.Group > GroupCell || c.Kind >= s.Kinds {
-			return fmt.Errorf("Classes[%d]: Effect %d, Group %d, Kind %d", i, c.Effect, c.Group, c.Kind)
+			return fmt.Errorf("bad Classes[%d]: Effect %d, Group %d, Kind %d", i, c.Effect, c.Group, c.Kind)
 		}
 		if c.Deadline <= 0 || c.Aim < 0 || c.Span < 0 || c.Stretch < 0 {
-			return fmt.Errorf("Classes[%d]: Deadline %v, Aim %v, Span %v, Stretch %v", i, c.Deadline, c.Aim,
+			return fmt.Errorf("bad Classes[%d]: Deadline %v, Aim %v, Span %v, Stretch %v", i, c.Deadline, c.Aim,
 				c.Span, c.Stretch)
 		}
 	}
@@ -337,55 +207,6 @@
 
 func seconds(x float64) time.Duration { return time.Duration(x * 1e9) }
 
-// spent tells whether a job has had its attempts. One whose connection never came up is
-// none, as nothing of it arrived: where most of a list that could not be renewed had gone,
-// jobs were refused after three such tries while live workers were there. Tries of all
-// kinds stop at three times as many.
-func (j *job) spent(most int) bool {
-	n := 0
-	for _, a := range j.attempts {
-		if !a.unreached {
-			n++
-		}
-	}
-	return n >= most || len(j.attempts) >= 3*most
-}
-
-// firstRan is the earliest attempt that may have run, or nil.
-func (j *job) firstRan() *attempt {
-	if j.earlier != nil {
-		return j.earlier
-	}
-	for _, a := range j.attempts {
-		if a.ran {
-			return a
-		}
-	}
-	return nil
-}
-
-// ranAt tells whether an attempt at the worker has ended that may have run: though it is over, what
-// is left of it there is rather not met.
-func (j *job) ranAt(w *worker) bool {
-	return slices.ContainsFunc(j.attempts, func(a *attempt) bool { return a.w == w && a.ran })
-}
-
-// newest is the last attempt that is still out, or nil. The last of all may have failed at
-// once, and must not hide those that wait.
-func (j *job) newest() *attempt {
-	for i := len(j.attempts) - 1; i >= 0; i-- {
-		if !j.attempts[i].done {
-			return j.attempts[i]
-		}
-	}
-	return nil
-}
-
-// begun tells whether an attempt that is out has started.
-func (j *job) begun() bool {
-	return slices.ContainsFunc(j.attempts, func(a *attempt) bool { return !a.done && a.started })
-}
-
 // enqueue keeps the queue in order of arrival, so that a job that comes back
 // from a failed attempt takes its old place.
 func (b *Balancer) enqueue(j *job) {
@@ -442,16 +263,6 @@
 	}
 }
 
-// movable tells whether a job that waits at one worker may wait at any other too.
-func (j *job) movable() bool {
-	return j.c.Effect == Safe || j.c.Effect == Keyed && j.c.Group == GroupAll
-}
-
-// bound tells whether a job may go to part of the fleet only.
-func (j *job) bound() bool {
-	return j.c.Kind >= 0 || j.c.Effect == Keyed && j.c.Group != GroupAll && j.firstRan() != nil
-}
-
 func (b *Balancer) cancelOthers(j *job, keep *attempt) {
 	for _, a := range j.attempts {
 		if a != keep && !a.done {
--- /dev/null
+++ b/dispatch/attempts.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"tinroute.example/tinroute/balance"
+)
+
+// Started takes a worker's word that it has begun with an attempt.
+func (c *Core) Started(t *Attempt) { c.note(t, balance.NoteStarted, 0) }
+
+// Progress takes a worker's word on how much of an attempt it has done.
+func (c *Core) Progress(t *Attempt, share float64) { c.note(t, balance.NoteProgress, share) }
+
+func (c *Core) note(t *Attempt, kind balance.NoteKind, share float64) {
+	c.post(func() {
+		if t.done {
+			return
+		}
+		if f, ok := t.Request.Client.(Follower); ok && !t.Request.over {
+			f.Progress(share)
+		}
+		if !t.started {
+			t.started = true
+			for _, p := range c.phases {
+				p.Started(t)
+			}
+		}
+		c.balancer.Note(c.now, t.Request.job, t.No, kind, share)
+	})
+}
+
+// Ended takes the outcome of an attempt from its driver, which then holds nothing of
+// it any more. Only the first outcome counts; a later one just settles a cancelled attempt.
+func (c *Core) Ended(t *Attempt, s balance.Status, result []byte) {
+	t.Mark(Reported)
+	c.post(func() {
+		if !t.settled {
+			t.settled = true
+			if t.withdrawn {
+				if t.Request.unsettled[t.Worker.ID]--; t.Request.unsettled[t.Worker.ID] <= 0 {
+					delete(t.Request.unsettled, t.Worker.ID)
+				}
+				c.forget(t.Request)
+			}
+		}
+		c.ended(t, s, result)
+	})
+}
+
+func (c *Core) ended(t *Attempt, s balance.Status, result []byte) {
+	if t.done { // late or repeated: exactly one outcome for each send
+		return
+	}
+	t.done = true
+	t.unreached = s == balance.StatusUnreachable
+	c.stop(t.limit)
+	request := t.Request
+	request.out--
+	c.active--
+	if !t.unsent {
+		c.observe(func(o Observer) { o.Ended(t, s, c.now-t.sent) })
+	}
+	switch s {
+	case balance.StatusOK:
+		c.answer(request, Answer{Verdict: Served, Result: result})
+	case balance.StatusUnfit:
+		c.answer(request, Answer{Verdict: Failed, Unfit: true, Reason: "a worker turned the request itself away"})
+	}
+	c.balancer.Outcome(c.now, balance.Result{Job: request.job, Attempt: t.No, Worker: t.Worker.ID, Status: s,
+		Elapsed: c.now - t.sent, Closed: request.over, Report: balance.NoReport()})
+	c.forget(request)
+}
+
+// withdraw asks the driver to give an attempt up and keeps later attempts of the request from
+// that worker until it has.
+func (c *Core) withdraw(t *Attempt) {
+	if t.withdrawn || t.settled {
+		return
+	}
+	t.withdrawn = true
+	if t.Request.unsettled == nil {
+		t.Request.unsettled = map[balance.WorkerID]int{}
+	}
+	t.Request.unsettled[t.Worker.ID]++
+	c.observe(func(o Observer) { o.Withdrawn(t) })
+	c.workers.Cancel(t)
+}
--- a/dispatch/clock.go
+++ b/dispatch/clock.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"hash/fnv"
 	"strconv"
 	"strings"
@@ -27,10 +26,10 @@
 // Now is the time since the Unix epoch.
 func (c Clock) Now() time.Duration { return c.base + time.Since(c.start) }
 
-// RegionID maps a region's name to the number that the balancer knows it by. Dispatchers
-// take turns at a cold region by that number, so it must be the same at each of them: it
+// WorkerIDOf maps a worker's name to the number that the balancer knows it by. Dispatchers
+// take turns at a cold worker by that number, so it must be the same at each of them: it
 // follows from the name alone, never from the order in which names were met.
-func RegionID(name string) balance.WorkerID {
+func WorkerIDOf(name string) balance.WorkerID {
 	if _, tail, ok := strings.Cut(name, "-"); ok && len(tail) == 8 {
 		if x, err := strconv.ParseUint(tail, 16, 32); err == nil {
 			return balance.WorkerID(x)
@@ -40,15 +39,3 @@
 	_, _ = h.Write([]byte(name)) // a hash takes every byte
 	return balance.WorkerID(h.Sum64() | 1<<63)
 }
-
-// sleep waits for a time or for the context's end, and tells whether the time has passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -12,19 +12,19 @@
 
 // fleet is a driver, a table and a terminal that note what they are told.
 type fleet struct {
-	started, cancelled []*Task
+	started, cancelled []*Attempt
 	answers            []Answer
 	watches            int
 }
 
-func (f *fleet) Start(t *Task)   { f.started = append(f.started, t) }
-func (f *fleet) Cancel(t *Task)  { f.cancelled = append(f.cancelled, t) }
-func (f *fleet) Listed([]Region) {}
-func (f *fleet) Watch()          { f.watches++ }
-func (f *fleet) Fetch()          {}
-func (f *fleet) Answer(a Answer) { f.answers = append(f.answers, a) }
+func (f *fleet) Start(t *Attempt)       { f.started = append(f.started, t) }
+func (f *fleet) Cancel(t *Attempt)      { f.cancelled = append(f.cancelled, t) }
+func (f *fleet) UpdateMembers([]Worker) {}
+func (f *fleet) Watch()                 { f.watches++ }
+func (f *fleet) Fetch()                 {}
+func (f *fleet) Answer(a Answer)        { f.answers = append(f.answers, a) }
 
-func play(t *testing.T, regions int, settings func(*balance.Settings), scene func(*Core, *fleet)) {
+func play(t *testing.T, workers int, settings func(*balance.Settings), scene func(*Core, *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := balance.Settings{Fleet: 1, Kinds: 1, MaxAttempts: 3, Cancel: true, SecondCopies: true, AskList: true,
 			ConnectTimeout: 250 * time.Millisecond, Tick: 5 * time.Millisecond, TellsStart: true, MaxRetryAfter: 2 * time.Second,
@@ -37,35 +37,35 @@
 		f := &fleet{}
 		c.Connect(f, f)
 		go c.Run(t.Context())
-		var list []Region
-		for i := range regions {
-			list = append(list, Region{Name: string(rune('a' + i)), Member: balance.Member{ID: balance.WorkerID(i + 1), Weight: 1}})
+		var list []Worker
+		for i := range workers {
+			list = append(list, Worker{Name: string(rune('a' + i)), Member: balance.Member{ID: balance.WorkerID(i + 1), Weight: 1}})
 		}
-		c.Listed(balance.ListCached, list)
+		c.UpdateMembers(balance.ListCached, list)
 		scene(c, f)
 	})
 }
 
-func submit(c *Core, f *fleet) *Transaction {
-	tx := &Transaction{ID: "1", Tenant: -1, Patience: 5 * time.Second, Slots: 1, Terminal: f}
-	c.Submit(tx)
+func submit(c *Core, f *fleet) *Request {
+	request := &Request{ID: "1", Tenant: -1, Patience: 5 * time.Second, Slots: 1, Client: f}
+	c.Submit(request)
 	synctest.Wait()
-	return tx
+	return request
 }
 
 // Late and repeated events are dropped: one outcome for each send, one answer for each
-// transaction.
+// request.
 func TestOneAnswer(t *testing.T) {
 	play(t, 1, nil, func(c *Core, f *fleet) {
-		tx := submit(c, f)
-		task := f.started[0]
+		request := submit(c, f)
+		attempt := f.started[0]
 		for range 3 {
-			c.Ended(task, balance.StatusOK, []byte("r"))
-			c.Ended(task, balance.StatusReset, nil)
-			c.Started(task)
-			c.Progress(task, 0.5)
+			c.Ended(attempt, balance.StatusOK, []byte("r"))
+			c.Ended(attempt, balance.StatusReset, nil)
+			c.Started(attempt)
+			c.Progress(attempt, 0.5)
 		}
-		c.Leave(tx)
+		c.Leave(request)
 		time.Sleep(10 * time.Second)
 		require.Equal(t, []Answer{{Verdict: Served, Result: []byte("r")}}, f.answers)
 		require.Len(t, f.started, 1)
@@ -75,8 +75,8 @@
 	})
 }
 
-// While a region has not settled a cancel, it may still have the task: it must not be sent
-// another of the same transaction.
+// While a worker has not settled a cancel, it may still have the attempt: it must not be sent
+// another of the same request.
 func TestUnsettledCancelKeepsTheRegionOut(t *testing.T) {
 	play(t, 2, nil, func(c *Core, f *fleet) {
 		submit(c, f)
@@ -85,13 +85,13 @@
 		require.Len(t, f.started, 2)
 		c.post(func() {
 			host{c}.Cancel(1, 0)
-			host{c}.Send(1, first.Region.ID, 0) // as a balancer might, were it wrong
+			host{c}.Send(1, first.Worker.ID, 0) // as a balancer might, were it wrong
 		})
 		time.Sleep(time.Second)
-		require.Equal(t, []*Task{first}, f.cancelled)
+		require.Equal(t, []*Attempt{first}, f.cancelled)
 		require.Len(t, f.started, 2, "sent although the cancel is not settled")
-		require.Len(t, first.Transaction.tasks, 3)
-		require.True(t, first.Transaction.tasks[2].done)
+		require.Len(t, first.Request.attempts, 3)
+		require.True(t, first.Request.attempts[2].done)
 	})
 }
 
@@ -105,7 +105,7 @@
 	})
 }
 
-// Started times map onto the clock, and dispatchers agree on regions' numbers whatever the
+// Started times map onto the clock, and dispatchers agree on workers' numbers whatever the
 // order in which they meet them.
 func TestClockAndNumbers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -114,19 +114,19 @@
 		time.Sleep(time.Hour)
 		require.Equal(t, time.Duration(time.Now().UnixNano()), c.Now())
 	})
-	require.Equal(t, balance.WorkerID(0x5be2a07c), RegionID("s-5be2a07c"))
-	require.NotEqual(t, RegionID("price-node-1"), RegionID("price-node-2"))
-	require.Greater(t, RegionID("price-node-1"), balance.WorkerID(1)<<32, "no hash may meet a parsed id")
+	require.Equal(t, balance.WorkerID(0x5be2a07c), WorkerIDOf("s-5be2a07c"))
+	require.NotEqual(t, WorkerIDOf("price-node-1"), WorkerIDOf("price-node-2"))
+	require.Greater(t, WorkerIDOf("price-node-1"), balance.WorkerID(1)<<32, "no hash may meet a parsed id")
 }
 
-// A transaction that another goroutine gives up before the submitting one has handed it over is
+// A request that another goroutine gives up before the submitting one has handed it over is
 // not begun, and none is counted as open.
 func TestLeftBeforeItBegan(t *testing.T) {
 	play(t, 1, nil, func(c *Core, f *fleet) {
-		tx := &Transaction{ID: "1", Tenant: -1, Patience: 5 * time.Second, Slots: 1, Terminal: f}
-		c.Leave(tx)
+		request := &Request{ID: "1", Tenant: -1, Patience: 5 * time.Second, Slots: 1, Client: f}
+		c.Leave(request)
 		synctest.Wait()
-		c.Submit(tx)
+		c.Submit(request)
 		synctest.Wait()
 		require.Empty(t, f.started)
 		require.Zero(t, c.Open())
@@ -137,16 +137,16 @@
 
 // A try whose connection never came up arrived nowhere and is no attempt: where most of a list
 // that could not be renewed had gone, requests were refused after three refused connects while
-// live regions were there. Tries stay bounded all the same.
+// live workers were there. Tries stay bounded all the same.
 func TestUnreachedTriesAreNoAttempts(t *testing.T) {
 	play(t, 5, nil, func(c *Core, f *fleet) {
-		tx := submit(c, f)
+		request := submit(c, f)
 		for i := range 3 {
 			require.Len(t, f.started, i+1)
 			c.Ended(f.started[i], balance.StatusUnreachable, nil)
 			synctest.Wait()
 		}
-		require.Len(t, f.started, 4, "a fourth region is tried after three refused connects")
+		require.Len(t, f.started, 4, "a fourth worker is tried after three refused connects")
 		require.Empty(t, f.answers)
 		c.Ended(f.started[3], balance.StatusOK, []byte("r"))
 		synctest.Wait()
@@ -154,10 +154,10 @@
 		require.Zero(t, c.Open())
 
 		c.post(func() { // arrived attempts bound it as before, whatever the balancer asks
-			for _, task := range tx.tasks {
-				task.unreached = false
+			for _, attempt := range request.attempts {
+				attempt.unreached = false
 			}
-			require.True(t, tx.spent(3))
+			require.True(t, request.spent(3))
 		})
 		synctest.Wait()
 	})
--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -2,7 +2,7 @@
 
 import "sync/atomic"
 
-// ClassCounts are the final answers of one class since the core began, and its routed tasks
+// ClassCounts are the final answers of one class since the core began, and its attempts
 // that were written whole.
 type ClassCounts struct {
 	Served, Refused, Failed, Written int64
@@ -51,6 +51,6 @@
 	return all
 }
 
-// Hosts are the regions that the service table lists, and of them those that the core avoids
+// Hosts are the workers that discovery lists, and of them those that the core avoids
 // now: drained, out by hand, or held back by the policy.
 type Hosts struct{ Listed, Down int }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,9 +1,9 @@
-// Package dispatch is the embeddable core of the dispatcher. It deals in transactions
-// (requests), routed tasks (attempts) and their outcomes, and knows no wire: fronts hand
-// it transactions and are given one final answer for each, and drivers carry routed tasks
-// to regions (workers) and keep the service table.
+// Package dispatch is the embeddable core of the dispatcher. It deals in requests, the
+// attempts at them and their outcomes, and knows no wire: servers of each protocol hand it requests
+// and are given one final answer for each, and drivers carry attempts to workers and keep the
+// membership list of discovery.
 //
-// One goroutine, Core.Run, owns the balance.Balancer, the transactions, the routed tasks
+// One goroutine, Core.Run, owns the balance.Balancer, the requests, the attempts
 // and all timers. Every other goroutine speaks to it through the methods of Core, which
 // may block for a moment while the core is busy; the core itself never waits for anyone.
 package dispatch
@@ -27,32 +27,32 @@
 
 func (v Verdict) String() string { return [...]string{"served", "refused", "failed"}[v] }
 
-// Answer is the one final answer of a transaction.
+// Answer is the one final answer of a request.
 type Answer struct {
 	Verdict    Verdict
-	Result     []byte        // Served: what the region gave
+	Result     []byte        // Served: what the worker gave
 	RetryAfter time.Duration // Refused: when to come back, 0 for no advice
 	Late       bool          // Failed: its time had run out
 	Unfit      bool          // Failed: the request itself is at fault, and would fail again
 	Reason     string        // not served: why, in a few words
 }
 
-// Terminal is the client's side of one transaction. Answer is called once at most, from
+// Client is the client's side of one request. Answer is called once at most, from
 // the core's goroutine, and must not block.
-type Terminal interface {
+type Client interface {
 	Answer(Answer)
 }
 
-// Follower is a Terminal whose client wants to hear of progress: the share done, 0 at the
-// start. Several routed tasks of a transaction may tell of theirs. The same terms hold as
+// Follower is a Client that wants to hear of progress: the share done, 0 at the
+// start. Several attempts of a request may tell of theirs. The same terms hold as
 // for Answer.
 type Follower interface {
 	Progress(share float64)
 }
 
-// Transaction is one request as a front submits it. The exported fields are the front's
+// Request is a client's request as a protocol's server submits it. The exported fields are the front's
 // to set before Submit and no one's to change after.
-type Transaction struct {
+type Request struct {
 	ID       string // the client's name for it
 	Class    int
 	Tenant   int // -1 for none
@@ -61,8 +61,8 @@
 	Hint     time.Duration // expected work, 0 for none
 	Slots    float64
 	Memory   float64
-	Payload  any // the front's own; drivers find it at each routed task
-	Terminal Terminal
+	Payload  any // the front's own; drivers find it at each attempt
+	Client   Client
 	Trace    string           // a traceparent that the client sent, or empty
 	State    string           // a tracestate that came with it, or empty
 	Earlier  *balance.Earlier // an attempt from before the Submit that may have run, or nil
@@ -75,42 +75,42 @@
 
 	job       balance.JobID
 	end       time.Duration
-	tasks     []*Task
+	attempts  []*Attempt
 	out       int
 	over      bool
 	guard     *timer
 	unsettled map[balance.WorkerID]int
 }
 
-// spent tells whether the routed tasks, counting the one just added, are more than the most
-// attempts. One whose connection never came up arrived nowhere and is none; tasks of all
+// spent tells whether the attempts, counting the one just added, are more than the most
+// attempts. One whose connection never came up arrived nowhere and is none; attempts of all
 // kinds stop at three times as many. The balancer counts alike.
-func (tx *Transaction) spent(most int) bool {
+func (request *Request) spent(most int) bool {
 	n := 0
-	for _, t := range tx.tasks {
+	for _, t := range request.attempts {
 		if !t.unreached {
 			n++
 		}
 	}
-	return n > most || len(tx.tasks) > 3*most
+	return n > most || len(request.attempts) > 3*most
 }
 
-// Region is one entry of the service table.
-type Region struct {
+// Worker is one entry of the membership list.
+type Worker struct {
 	balance.Member
 	Name string
 	Addr string
 }
 
-// Task is a routed task: one attempt of a transaction at one region.
-type Task struct {
-	Transaction *Transaction
-	No          int
-	Region      Region
-	Wait        time.Duration // how long the core will wait for it
-	Again       bool          // an earlier attempt of the request went to this worker, and has ended
-	// Trace is a traceparent to hand to the region, where the front has a place for it. An
-	// observer may set it when the task is Sent, and no one later.
+// Attempt is one attempt at a request, at one worker.
+type Attempt struct {
+	Request *Request
+	No      int
+	Worker  Worker
+	Wait    time.Duration // how long the core will wait for it
+	Again   bool          // an earlier attempt of the request went to this worker, and has ended
+	// Trace is a traceparent to hand to the worker, where the front has a place for it. An
+	// observer may set it when the attempt is Sent, and no one later.
 	Trace string
 
 	sentAt    time.Time // when Wait was counted from, by the system's clock
@@ -128,7 +128,7 @@
 
 // Remaining is what is left of Wait: an attempt may have waited for its connection. It is what a
 // worker is told, which would otherwise work on for a client that has given up.
-func (t *Task) Remaining() time.Duration {
+func (t *Attempt) Remaining() time.Duration {
 	return max(0, t.Wait-time.Since(t.sentAt))
 }
 
@@ -154,7 +154,7 @@
 	return origin.Add(time.Duration(d)), false, d != 0
 }
 
-// Mark is an instant on a routed task's way that its driver knows.
+// Mark is an instant on an attempt's way that its driver knows.
 type Mark uint8
 
 // The marks, in the order of the way. The first three are the driver's to set, the last is set
@@ -162,7 +162,7 @@
 const (
 	Connected Mark = iota // it has a connection
 	Written               // the last byte has been written
-	Accepted              // the region has taken it
+	Accepted              // the worker has taken it
 	Reported              // the driver has learned of its end
 	marks
 )
@@ -170,65 +170,65 @@
 var origin = time.Now()
 
 // Mark sets a mark to now, unless it is set. Any goroutine may call it.
-func (t *Task) Mark(m Mark) {
+func (t *Attempt) Mark(m Mark) {
 	if t.marks[m].CompareAndSwap(0, int64(time.Since(origin))) && m == Written && t.counted != nil {
 		t.counted.written.Add(1)
 	}
 }
 
 // At is when a mark was set, the zero time where it was not.
-func (t *Task) At(m Mark) time.Time {
+func (t *Attempt) At(m Mark) time.Time {
 	if d := t.marks[m].Load(); d != 0 {
 		return origin.Add(time.Duration(d))
 	}
 	return time.Time{}
 }
 
-// Regions carries routed tasks. Its methods are called from the core's goroutine and must
+// Workers carries attempts to workers. Its methods are called from the core's goroutine and must
 // not block. For each Start the driver calls Core.Ended; after Cancel it does so when the
-// region can no longer take the task up, with balance.StatusCancelled unless it learned of
+// worker can no longer take the attempt up, with balance.StatusCancelled unless it learned of
 // another outcome, and never if it cannot find out. Until then the core sends the
-// transaction's later tasks elsewhere, and it keeps all time limits itself.
-type Regions interface {
-	Start(*Task)
-	Cancel(*Task)
-	// Listed tells which regions there are, whenever that changes.
-	Listed([]Region)
+// request's later attempts elsewhere, and it keeps all time limits itself.
+type Workers interface {
+	Start(*Attempt)
+	Cancel(*Attempt)
+	// Listed tells which workers there are, whenever that changes.
+	UpdateMembers([]Worker)
 }
 
-// ServiceTable is discovery. Watch subscribes to changes from now on; what was missed comes
-// first, by Core.Listed, and a failure by Core.ListFailed. Fetch asks for the whole list
+// Discovery keeps the membership list. Watch subscribes to changes from now on; what was missed comes
+// first, by Core.UpdateMembers, and a failure by Core.UpdateFailed. Fetch asks for the whole list
 // once. Neither blocks.
-type ServiceTable interface {
+type Discovery interface {
 	Watch()
 	Fetch()
 }
 
-// Hook looks at a transaction before the core does, on the goroutine that submits it. It
+// Hook looks at a request before the core does, on the goroutine that submits it. It
 // may set Tenant and Hint, or refuse: then nothing is sent, and the answer says why. It
-// never chooses a region.
+// never chooses a worker.
 type Hook interface {
-	Transaction(tx *Transaction) (refused *Answer)
+	Request(request *Request) (refused *Answer)
 }
 
-// PhaseObserver is an Observer that is told of more, on the same terms: that a region has begun
-// with a task, and of drains. What a front tells of an answer's way to its client is in
-// Transaction.Wrote, and asks nothing of the core.
+// PhaseObserver is an Observer that is told of more, on the same terms: that a worker has begun
+// with an attempt, and of drains. What a front tells of an answer's way to its client is in
+// Request.Wrote, and asks nothing of the core.
 type PhaseObserver interface {
-	Started(t *Task)
-	// Drained tells that the service table has named a region as draining or gone that served
+	Started(t *Attempt)
+	// Drained tells that discovery has named a worker as draining or gone that served
 	// before: nothing new is sent there from now on.
-	Drained(r Region)
+	Drained(r Worker)
 }
 
 // Observer is told of what the core does, from the core's goroutine; it must not block.
-// Every transaction that Began is either Answered or has Left, and every task that was
+// Every request that Began is either Answered or has Left, and every attempt that was
 // Sent has Ended, perhaps after that.
 type Observer interface {
-	Began(tx *Transaction)
-	Sent(t *Task)
-	Withdrawn(t *Task)
-	Ended(t *Task, s balance.Status, elapsed time.Duration)
-	Answered(tx *Transaction, a Answer)
-	Left(tx *Transaction)
+	Began(request *Request)
+	Sent(t *Attempt)
+	Withdrawn(t *Attempt)
+	Ended(t *Attempt, s balance.Status, elapsed time.Duration)
+	Answered(request *Request, a Answer)
+	Left(request *Request)
 }
--- /dev/null
+++ b/dispatch/membership.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"time"
+
+	"tinroute.example/tinroute/balance"
+)
+
+// UpdateMembers takes word of discovery.
+func (c *Core) UpdateMembers(how balance.ListKind, list []Worker) {
+	c.post(func() {
+		before := c.members
+		if how != balance.ListChange {
+			c.members = make(map[balance.WorkerID]Worker, len(list))
+		}
+		members := make([]balance.Member, len(list))
+		for i, r := range list {
+			members[i] = c.overridden(r)
+			if was, ok := before[r.ID]; ok && was.Condition == balance.Serving && r.Condition != balance.Serving {
+				for _, p := range c.phases {
+					p.Drained(r)
+				}
+			}
+			if r.Condition == balance.Gone {
+				delete(c.members, r.ID)
+			} else {
+				c.members[r.ID] = r
+			}
+		}
+		all := make([]Worker, 0, len(c.members))
+		names := make([]string, 0, len(c.members))
+		for _, r := range c.members {
+			all = append(all, r)
+			names = append(names, r.Name)
+		}
+		if c.hand != nil {
+			c.hand.UpdateMembers(time.Now(), names...)
+		}
+		c.workers.UpdateMembers(all)
+		c.balancer.Members(c.now, how, members)
+	})
+}
+
+// overridden is what the balancer is told of a worker: one out by hand is draining, whatever the
+// table says, and one taken back is as cold as a new start, since it was restarted meanwhile.
+func (c *Core) overridden(r Worker) balance.Member {
+	m := r.Member
+	if c.out[r.Name] && m.Condition == balance.Serving {
+		m.Condition = balance.Draining
+	}
+	if at, ok := c.back[r.ID]; ok {
+		if m.Started >= at { // a start after the call back is the table's own word
+			delete(c.back, r.ID)
+		} else {
+			m.Started = at
+		}
+	}
+	return m
+}
+
+// applyOverrides tells the balancer of changes of the workers out by hand. It comes first in a turn,
+// before the turn's event: what is decided in it obeys the ban.
+func (c *Core) applyOverrides() {
+	state := c.hand.State()
+	out := make(map[string]bool, len(state.Out))
+	for _, name := range state.Out {
+		out[name] = true
+	}
+	var changed []balance.Member
+	for id, r := range c.members {
+		if out[r.Name] == c.out[r.Name] {
+			continue
+		}
+		if !out[r.Name] {
+			c.back[id] = max(c.now, time.Nanosecond) // 0 would mean long ago
+		}
+		c.out[r.Name] = out[r.Name]
+		changed = append(changed, c.overridden(r))
+	}
+	c.out = out // also the names that the table does not list now: the ban holds when they return
+	c.heard.Store(state.Gen)
+	if len(changed) > 0 {
+		c.balancer.Members(c.now, balance.ListChange, changed)
+	}
+}
+
+// OverridesApplied is the generation of the workers out by hand that the core obeys.
+func (c *Core) OverridesApplied() uint64 { return c.heard.Load() }
+
+// UpdateFailed takes word that an inquiry of discovery failed, or that the
+// subscription broke.
+func (c *Core) UpdateFailed() {
+	c.post(func() { c.balancer.Members(c.now, balance.ListFailed, nil) })
+}
--- a/dispatch/hand_test.go
+++ b/dispatch/override_test.go
@@ -9,47 +9,47 @@
 	"github.com/stretchr/testify/require"
 
 	"tinroute.example/tinroute/balance"
-	"tinroute.example/tinroute/internal/hand"
+	"tinroute.example/tinroute/internal/override"
 )
 
 // playBanned is play with a book of hand bans that the core obeys.
-func playBanned(t *testing.T, regions int, scene func(*Core, *fleet, *hand.Book)) {
+func playBanned(t *testing.T, workers int, scene func(*Core, *fleet, *override.Set)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := balance.Settings{Fleet: 1, Kinds: 1, MaxAttempts: 3, Cancel: true, SecondCopies: true, AskList: true,
 			ConnectTimeout: 250 * time.Millisecond, Tick: 5 * time.Millisecond, TellsStart: true, MaxRetryAfter: 2 * time.Second,
 			Classes: []balance.Class{{Name: "price-read", Aim: time.Second, Stretch: 2, Deadline: 5 * time.Second, Worth: 1, Kind: -1}}}
-		book := hand.New()
+		book := override.New()
 		c, err := New(Options{Settings: s, Hand: book})
 		require.NoError(t, err)
 		f := &fleet{}
 		c.Connect(f, f)
 		go c.Run(t.Context())
-		c.Listed(balance.ListCached, regionsOf(regions))
+		c.UpdateMembers(balance.ListCached, regionsOf(workers))
 		synctest.Wait()
 		scene(c, f, book)
 	})
 }
 
-func regionsOf(n int) []Region {
-	var list []Region
+func regionsOf(n int) []Worker {
+	var list []Worker
 	for i := range n {
-		list = append(list, Region{Name: string(rune('a' + i)), Member: balance.Member{ID: balance.WorkerID(i + 1), Weight: 1}})
+		list = append(list, Worker{Name: string(rune('a' + i)), Member: balance.Member{ID: balance.WorkerID(i + 1), Weight: 1}})
 	}
 	return list
 }
 
-// submitN hands over n transactions of fresh ids and lets the core take them up.
+// submitN hands over n requests of fresh ids and lets the core take them up.
 func submitN(c *Core, f *fleet, from, n int) {
 	for i := range n {
-		c.Submit(&Transaction{ID: fmt.Sprint(from + i), Tenant: -1, Patience: 5 * time.Second, Slots: 1, Terminal: f})
+		c.Submit(&Request{ID: fmt.Sprint(from + i), Tenant: -1, Patience: 5 * time.Second, Slots: 1, Client: f})
 	}
 	synctest.Wait()
 }
 
-func sentTo(tasks []*Task) map[string]int {
+func sentTo(attempts []*Attempt) map[string]int {
 	to := map[string]int{}
-	for _, t := range tasks {
-		to[t.Region.Name]++
+	for _, t := range attempts {
+		to[t.Worker.Name]++
 	}
 	return to
 }
@@ -57,22 +57,22 @@
 // From the turn after a detach nothing new goes to the worker, whatever the table says of it
 // later, until it is attached; then it is as cold as a worker that has just started.
 func TestHandBanHoldsUntilAttach(t *testing.T) {
-	playBanned(t, 2, func(c *Core, f *fleet, book *hand.Book) {
+	playBanned(t, 2, func(c *Core, f *fleet, book *override.Set) {
 		_, err := book.Detach(time.Now(), "nobody")
-		require.ErrorIs(t, err, hand.ErrUnknown, "an id that was never listed")
+		require.ErrorIs(t, err, override.ErrUnknown, "an id that was never listed")
 		gen, err := book.Detach(time.Now(), "a")
 		require.NoError(t, err)
 		synctest.Wait()
-		require.Equal(t, gen, c.Heard(), "the core tells that it obeys")
+		require.Equal(t, gen, c.OverridesApplied(), "the core tells that it obeys")
 
 		submitN(c, f, 0, 20)
 		require.NotEmpty(t, f.started)
 		require.Zero(t, sentTo(f.started)["a"], "sent to a worker out by hand")
 
 		// The table names it serving again, and whole: the ban holds.
-		c.Listed(balance.ListFull, regionsOf(2))
-		for _, task := range f.started {
-			c.Ended(task, balance.StatusOK, []byte("r"))
+		c.UpdateMembers(balance.ListFull, regionsOf(2))
+		for _, attempt := range f.started {
+			c.Ended(attempt, balance.StatusOK, []byte("r"))
 		}
 		f.started = nil
 		synctest.Wait()
@@ -83,8 +83,8 @@
 		require.NoError(t, err)
 		require.Equal(t, gen, again, "a repeated detach changes nothing")
 
-		for _, task := range f.started {
-			c.Ended(task, balance.StatusOK, []byte("r"))
+		for _, attempt := range f.started {
+			c.Ended(attempt, balance.StatusOK, []byte("r"))
 		}
 		f.started = nil
 		back := time.Now()
@@ -92,7 +92,7 @@
 		require.NoError(t, err)
 		synctest.Wait()
 		var started time.Duration
-		c.post(func() { started = c.handled(c.members[1]).Started })
+		c.post(func() { started = c.overridden(c.members[1]).Started })
 		synctest.Wait()
 		require.Equal(t, time.Duration(back.UnixNano()), started, "a worker taken back is cold from then on")
 		submitN(c, f, 200, 40)
@@ -102,14 +102,14 @@
 
 // A ban holds for a worker that the table drops and names again, as a restarted one would be.
 func TestHandBanOverAbsence(t *testing.T) {
-	playBanned(t, 2, func(c *Core, f *fleet, book *hand.Book) {
+	playBanned(t, 2, func(c *Core, f *fleet, book *override.Set) {
 		_, err := book.Detach(time.Now(), "a")
 		require.NoError(t, err)
 		synctest.Wait()
 		gone := regionsOf(1)
 		gone[0].Condition = balance.Gone
-		c.Listed(balance.ListChange, gone)
-		c.Listed(balance.ListChange, regionsOf(1))
+		c.UpdateMembers(balance.ListChange, gone)
+		c.UpdateMembers(balance.ListChange, regionsOf(1))
 		synctest.Wait()
 		submitN(c, f, 0, 20)
 		require.Zero(t, sentTo(f.started)["a"])
@@ -119,7 +119,7 @@
 // Whatever the balancer decides, the core sends nothing to a worker out by hand: the send is
 // moot and never leaves.
 func TestHandBanGuardsSend(t *testing.T) {
-	playBanned(t, 2, func(c *Core, f *fleet, book *hand.Book) {
+	playBanned(t, 2, func(c *Core, f *fleet, book *override.Set) {
 		_, err := book.Detach(time.Now(), "a")
 		require.NoError(t, err)
 		synctest.Wait()
@@ -131,27 +131,27 @@
 }
 
 // Every final answer is counted once, by its class and verdict, also those given before the
-// core has the transaction; a client that has gone is not counted.
+// core has the request; a client that has gone is not counted.
 func TestCounts(t *testing.T) {
 	play(t, 2, func(s *balance.Settings) { s.MaxOpen = 6 }, func(c *Core, f *fleet) {
 		submitN(c, f, 0, 8) // two find too many open
 		require.Len(t, f.answers, 2)
 		for i := range 4 { // each end makes room for the next
 			require.Greater(t, len(f.started), i)
-			task := f.started[i]
+			attempt := f.started[i]
 			status := balance.StatusOK
 			if i == 3 {
 				status = balance.StatusUnfit
 			}
-			task.Mark(Written)
-			task.Mark(Written) // once a task
-			c.Ended(task, status, []byte("r"))
+			attempt.Mark(Written)
+			attempt.Mark(Written) // once an attempt
+			c.Ended(attempt, status, []byte("r"))
 			synctest.Wait()
 		}
-		var left *Transaction
-		for _, task := range f.started[4:] {
-			if !task.Transaction.over {
-				left = task.Transaction
+		var left *Request
+		for _, attempt := range f.started[4:] {
+			if !attempt.Request.over {
+				left = attempt.Request
 				break
 			}
 		}
--- a/dispatch/serving.go
+++ b/dispatch/serving.go
@@ -15,7 +15,7 @@
 }
 
 // Set takes the members of a new list.
-func (s *ServingSet) Set(members []Region) {
+func (s *ServingSet) Set(members []Worker) {
 	serving := make(map[balance.WorkerID]bool, len(members))
 	for _, m := range members {
 		if m.Condition == balance.Serving {
--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -1,4 +1,4 @@
-// Command toy is a price node and a service table in one, to try tinroute with: it takes
+// Command toy is a price node and a discovery in one, to try tinroute with: it takes
 // every job, works on it for a moment and calls back with a result.
 package main
 
@@ -14,7 +14,7 @@
 )
 
 var (
-	table   = flag.String("table", "127.0.0.1:8500", "serve the service table at this `address`")
+	table   = flag.String("table", "127.0.0.1:8500", "serve discovery at this `address`")
 	node    = flag.String("node", "127.0.0.1:9000", "serve jobs at this `address`")
 	back    = flag.String("back", "127.0.0.1:5000", "call the dispatcher back at this `address`")
 	work    = flag.Duration("work", 300*time.Millisecond, "how long a job takes")
@@ -33,7 +33,7 @@
 		}
 	})
 	mux.HandleFunc("POST /", take)
-	log.Printf("price node at %s, service table at %s", *node, *table)
+	log.Printf("price node at %s, discovery at %s", *node, *table)
 	log.Fatal(http.ListenAndServe(*node, mux))
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -127,7 +127,7 @@
 	case "json":
 		return slog.NewJSONHandler(e.Err, &slog.HandlerOptions{Level: l.LogLevel})
 	case "tint":
-		return tint.NewHandler(e.Err, &tint.Options{Level: l.LogLevel, TimeFormat: time.TimeOnly, NoColor: !e.Terminal})
+		return tint.NewTextHandler(e.Err, &tint.Options{Level: l.LogLevel, TimeFormat: time.TimeOnly, NoColor: !e.Terminal})
 	}
 	return slog.NewTextHandler(e.Err, &slog.HandlerOptions{Level: l.LogLevel})
 }
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -41,6 +41,8 @@
 // Run plays what of the matrix is not in the file yet, appends each outcome as it comes, and sums
 // the whole file's matrix up. It fails where tinroute's own policy broke a rule; the comparison
 // policies' breaks are findings, told in the summary.
+//
+//revive:disable-next-line:function-length one command's flags, play and tables
 func (e *experimentWord) Run(r *run) error {
 	plan := experiment.Plan{Seeds: e.Seeds, Nodes: e.Nodes, Dispatchers: e.Dispatchers, Load: e.Load,
 		Length: e.Length, Bound: e.Bound, Workers: cmp.Or(max(0, e.Workers), runtime.NumCPU())}
--- a/internal/cli/experiment_test.go
+++ b/internal/cli/experiment_test.go
@@ -28,7 +28,7 @@
 	cut := strings.SplitAfter(string(data), "\n")
 	kept := strings.Join(cut[:5], "") + cut[5][:len(cut[5])/2] // five whole lines and half of one
 	require.NoError(t, os.WriteFile(out, []byte(kept), 0o644))
-	code, text, errs := call(nil, args...)
+	code, _, errs := call(nil, args...)
 	require.Equal(t, ExitOK, code, errs)
 	require.Contains(t, errs, "8 plays, 5 of them done before", "the half line is played again")
 	require.Equal(t, 8, lines(t, out))
--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -146,6 +146,8 @@
 }
 
 // ServeHTTP takes OTLP over HTTP.
+//
+//revive:disable-next-line:function-length one switch over scripted faults
 func (c *Collector) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s := c.begin()
 	hijack := func(first string) {
--- a/internal/collector/report.go
+++ b/internal/collector/report.go
@@ -126,6 +126,8 @@
 
 // Report writes where the time of the wanted requests went: a table by phase and region, then the
 // slowest as timelines. Requests whose spans are not whole are counted, and left out.
+//
+//revive:disable-next-line:function-length one report, section by section
 func Report(w io.Writer, all []*Span, q Question) error {
 	faulty := map[string]bool{}
 	var wanted []*Span
--- a/internal/collector/trace.go
+++ b/internal/collector/trace.go
@@ -25,7 +25,7 @@
 // Took is how long the span lasted.
 func (s *Span) Took() time.Duration { return s.To.Sub(s.From) }
 
-// IsRequest, IsTask and IsPhase tell what a span of tinroute's is.
+// IsRequest tells whether a span of tinroute's is a request's; IsTask and IsPhase tell of the others.
 func (s *Span) IsRequest() bool { return s.Attributes["tinroute.verdict"] != "" }
 
 // IsTask tells whether it is a routed task.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -80,6 +80,19 @@
 	return c, nil
 }
 
+// check names the limit that makes no sense, if any.
+func (l Limits) check() error {
+	switch {
+	case l.Cores <= 0:
+		return fmt.Errorf("limits.cores: %v is not above 0", l.Cores)
+	case l.MemoryMB < 16:
+		return fmt.Errorf("limits.memory_mb: %d is under 16", l.MemoryMB)
+	case l.Sockets < leastSockets:
+		return fmt.Errorf("limits.sockets: %d is under %d", l.Sockets, leastSockets)
+	}
+	return nil
+}
+
 // Parse reads and checks the file's text.
 func Parse(data []byte) (*Config, error) {
 	v, err := fastjson.ParseBytes(data)
@@ -105,13 +118,8 @@
 	if f.err != nil {
 		return nil, fmt.Errorf("configuration: %w", f.err)
 	}
-	switch {
-	case c.Limits.Cores <= 0:
-		return nil, fmt.Errorf("limits.cores: %v is not above 0", c.Limits.Cores)
-	case c.Limits.MemoryMB < 16:
-		return nil, fmt.Errorf("limits.memory_mb: %d is under 16", c.Limits.MemoryMB)
-	case c.Limits.Sockets < leastSockets:
-		return nil, fmt.Errorf("limits.sockets: %d is under %d", c.Limits.Sockets, leastSockets)
+	if err := c.Limits.check(); err != nil {
+		return nil, err
 	}
 	settings := v.Get("settings")
 	if settings == nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tinroute.example/tinroute/internal/otlp"
-	"tinroute.example/tinroute/internal/tail"
+	"tinroute.example/tinroute/internal/tailsampling"
 )
 
 func example(t *testing.T) string {
@@ -157,7 +157,7 @@
 		otlp.Traces:  {URL: "http://file:4318/v1/traces", Timeout: 3 * time.Second, Headers: map[string]string{"a": "b"}, Gzip: true},
 		otlp.Metrics: {URL: "https://env/m", GRPC: true, Timeout: 1500 * time.Millisecond, Headers: map[string]string{"a": "f", "c": "d e"}, Gzip: true},
 	}, c.Endpoints)
-	require.Equal(t, tail.Limits{Bytes: 1000, Rate: defaultTraceRate, Slow: 2 * time.Second}, c.Sampling)
+	require.Equal(t, tailsampling.Limits{Bytes: 1000, Rate: defaultTraceRate, Slow: 2 * time.Second}, c.Sampling)
 	const whole = "endpoint = 'http://x'\n"
 	for text, key := range map[string]string{
 		"endpoint = 'x'":                   "endpoint",
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -77,6 +77,8 @@
 }
 
 // ParseFleet reads the fleet's file from its text.
+//
+//revive:disable-next-line:function-length one list of a file's keys, read from top to bottom
 func ParseFleet(text, name string, s *balance.Settings, names *Names) (*Fleet, error) {
 	type part struct {
 		Weight  int64   `toml:"weight"`
--- a/internal/config/gearman.go
+++ b/internal/config/gearman.go
@@ -9,7 +9,7 @@
 	"github.com/BurntSushi/toml"
 
 	"tinroute.example/tinroute/balance"
-	"tinroute.example/tinroute/internal/jobbook"
+	"tinroute.example/tinroute/internal/jobindex"
 	"tinroute.example/tinroute/internal/recovery"
 )
 
@@ -47,7 +47,7 @@
 	Functions   map[string]Function // one for each class, named as the class
 	Connections int                 // clients' at once; 0 for the front's share of the platform's limit
 	Shutdown    bool                // the text protocol may end the process
-	Limits      jobbook.Limits
+	Limits      jobindex.Limits
 	Store       *Store // nil where background jobs are off
 	Retry       recovery.Limits
 	Pace        recovery.PaceLimits
@@ -75,6 +75,8 @@
 }
 
 // ParseGearman reads the second front's file from its text.
+//
+//revive:disable-next-line:function-length one list of a file's keys, read from top to bottom
 func ParseGearman(text string, s *balance.Settings, names *Names) (*Gearman, error) {
 	var file struct {
 		Listen    string   `toml:"listen"`
@@ -127,7 +129,7 @@
 		return nil, fmt.Errorf("discovery: missing")
 	}
 	g := &Gearman{Listen: file.Listen, Discovery: file.Discovery, Hooks: file.Hooks, Functions: map[string]Function{},
-		Shutdown: file.Shutdown, Limits: jobbook.Limits{PerFunction: map[string]int{}}}
+		Shutdown: file.Shutdown, Limits: jobindex.Limits{PerFunction: map[string]int{}}}
 	c := checker{}
 	g.Limits.PerClient = int(c.count("limits.jobs_per_connection", file.Limits.PerClient, defaultPerClient, 4096))
 	if file.Limits.Conns != nil {
--- a/internal/config/telemetry.go
+++ b/internal/config/telemetry.go
@@ -9,7 +9,7 @@
 	"github.com/BurntSushi/toml"
 
 	"tinroute.example/tinroute/internal/otlp"
-	"tinroute.example/tinroute/internal/tail"
+	"tinroute.example/tinroute/internal/tailsampling"
 )
 
 // Defaults for what the environment and the telemetry file leave out.
@@ -27,7 +27,7 @@
 // Telemetry is what is exported, and where to.
 type Telemetry struct {
 	Endpoints map[otlp.Signal]otlp.Endpoint // those that are on
-	Sampling  tail.Limits
+	Sampling  tailsampling.Limits
 	Interval  time.Duration // between two exports of metrics
 	Regions   int           // told apart in metrics; the others are "other"
 	Tenants   int
@@ -38,6 +38,8 @@
 
 // LoadTelemetry reads the telemetry file, where path names one, and the standard OTEL_ variables,
 // which win over it. It returns nil where no endpoint is given.
+//
+//revive:disable-next-line:function-length one list of a file's keys, read from top to bottom
 func LoadTelemetry(path string, getenv func(string) string) (*Telemetry, error) {
 	if getenv("OTEL_SDK_DISABLED") == "true" {
 		return nil, nil
@@ -79,7 +81,7 @@
 	}
 	c := checker{}
 	t := &Telemetry{Endpoints: map[otlp.Signal]otlp.Endpoint{}, Spool: file.Spool.Dir,
-		Sampling: tail.Limits{Bytes: c.count("sampling.bytes", file.Sampling.Bytes, defaultTelemetryBytes, 1<<32),
+		Sampling: tailsampling.Limits{Bytes: c.count("sampling.bytes", file.Sampling.Bytes, defaultTelemetryBytes, 1<<32),
 			Rate: float64(c.count("sampling.rate", file.Sampling.Rate, defaultTraceRate, 1_000_000))},
 		Interval: c.time("metric_interval", file.Interval, defaultMetricInterval),
 		Regions:  int(c.count("regions", file.Regions, defaultRegionsTold, 1900)), Tenants: int(c.count("tenants", file.Tenants, defaultTenantsTold, 1900)),
--- a/internal/daemon/coalesce_test.go
+++ b/internal/daemon/coalesce_test.go
@@ -16,7 +16,7 @@
 	"tinroute.example/tinroute/internal/link"
 )
 
-// Many clients on one unique id, some of whom never read, are one task at a region. All that
+// Many clients on one unique id, some of whom never read, are one task at a worker. All that
 // read get the one answer, and the core is not held up by the others.
 func TestManyClientsOnOneJob(t *testing.T) {
 	clients := 10_000
@@ -26,7 +26,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, &memory{}, &gearmanWire{}, true)
 		w.most = 2 * clients
-		w.regions["a"] = newRegion(w, "a", "0")
+		w.workers["a"] = newWorker(w, "a", "0")
 		w.launch(nil)
 		defer w.finish()
 		var created, answered atomic.Int64
@@ -76,7 +76,7 @@
 			t := &testing.T{}
 			w := newWorld(t, &memory{}, &gearmanWire{}, false)
 			w.most = 2 * waiters
-			w.regions["a"] = newRegion(w, "a", "0")
+			w.workers["a"] = newWorker(w, "a", "0")
 			w.launch(nil)
 			conns := make([]net.Conn, waiters)
 			framers := make([]link.Framer[gearman.Packet], waiters)
--- a/internal/daemon/conform_test.go
+++ b/internal/daemon/conform_test.go
@@ -14,13 +14,13 @@
 	"tinroute.example/tinroute/internal/conform"
 )
 
-// scripted hands the connections to its regions to a player, who answers on them.
+// scripted hands the connections to its workers to a player, who answers on them.
 type scripted struct {
 	gearmanWire
 	conns chan net.Conn
 }
 
-func (s *scripted) serve(_ *region, c net.Conn) { s.conns <- c }
+func (s *scripted) serve(_ *worker, c net.Conn) { s.conns <- c }
 
 // The conformance suite, both sides, against the daemon's Gearman front.
 func TestConformance(t *testing.T) {
@@ -35,7 +35,7 @@
 				if c.Needs("store") {
 					w.store = filepath.Join(t.TempDir(), "jobs")
 				}
-				w.regions["a"] = newRegion(w, "a", "0")
+				w.workers["a"] = newWorker(w, "a", "0")
 				w.launch(nil)
 				defer w.finish()
 				p := conform.Player{Wait: 3 * time.Second,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,10 +19,10 @@
 	"tinroute.example/tinroute/internal/config"
 	"tinroute.example/tinroute/internal/fleet"
 	"tinroute.example/tinroute/internal/gearman"
-	"tinroute.example/tinroute/internal/hand"
 	"tinroute.example/tinroute/internal/hook"
 	"tinroute.example/tinroute/internal/jobstore"
 	"tinroute.example/tinroute/internal/link"
+	"tinroute.example/tinroute/internal/override"
 	"tinroute.example/tinroute/internal/platform"
 	"tinroute.example/tinroute/internal/telemetry"
 )
@@ -32,7 +32,7 @@
 	// connections that are being closed.
 	reserve     = 48
 	mostSockets = 1024
-	// terminalShare of the others is for terminals and call-backs, the rest for regions.
+	// terminalShare of the others is for terminals and call-backs, the rest for workers.
 	terminalShare = 0.6
 	// memoryShare of the limit is where the collector begins to work hard.
 	memoryShare = 0.75
@@ -62,7 +62,7 @@
 	Listen    func(network, addr string) (net.Listener, error)                  // link.Listen where nil
 	Shared    string                                                            // the folder shared with a successor, os.TempDir() where empty
 
-	hand  *hand.Book // workers out by hand, where there is an operators' door
+	hand  *override.Set // workers out by hand, where there is an operators' door
 	cores []*dispatch.Core
 	fleet *fleet.Part
 }
@@ -218,15 +218,15 @@
 	}
 }
 
-// start brings a core and its drivers to life, beginning with the service table as known.
-func (d *Daemon) start(ctx context.Context, core *dispatch.Core, regions interface {
-	dispatch.Regions
+// start brings a core and its drivers to life, beginning with discovery as known.
+func (d *Daemon) start(ctx context.Context, core *dispatch.Core, workers interface {
+	dispatch.Workers
 	Run(context.Context)
-}, discovery string, known []byte) (*platform.Table, error) {
-	table := platform.NewTable(core, d.Log, d.Config.Names, d.Dial, discovery)
-	core.Connect(regions, table)
+}, discovery string, known []byte) (*platform.Discovery, error) {
+	table := platform.NewDiscovery(core, d.Log, d.Config.Names, d.Dial, discovery)
+	core.Connect(workers, table)
 	go core.Run(ctx)
-	go regions.Run(ctx)
+	go workers.Run(ctx)
 	if err := table.Start(known); err != nil {
 		return nil, err
 	}
@@ -235,10 +235,10 @@
 }
 
 // reload reads the files again whenever it is told to, until the last answer: also while
-// the daemon drains, since what it has taken may need a region that only the new discovery
+// the daemon drains, since what it has taken may need a worker that only the new discovery
 // knows. It takes up where discovery is; all else holds until a restart. A file that is
 // faulty changes nothing.
-func (d *Daemon) reload(ctx context.Context, table, second *platform.Table) {
+func (d *Daemon) reload(ctx context.Context, table, second *platform.Discovery) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/daemon/door.go
+++ b/internal/daemon/door.go
@@ -60,7 +60,7 @@
 	heard := func() uint64 {
 		least := uint64(math.MaxUint64)
 		for _, c := range cores {
-			least = min(least, c.Heard())
+			least = min(least, c.OverridesApplied())
 		}
 		return least
 	}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -9,8 +9,8 @@
 
 	"tinroute.example/tinroute/internal/fleet"
 	"tinroute.example/tinroute/internal/gearman"
-	"tinroute.example/tinroute/internal/hand"
 	"tinroute.example/tinroute/internal/handover"
+	"tinroute.example/tinroute/internal/override"
 	"tinroute.example/tinroute/internal/platform"
 	"tinroute.example/tinroute/internal/telemetry"
 )
@@ -28,7 +28,7 @@
 	fronts             []front
 	spans              *telemetry.Telemetry
 	clients            *platform.Server
-	table, second      *platform.Table
+	table, second      *platform.Discovery
 }
 
 // begin starts the parts in their order: each may use what those before it have left. A part that the
@@ -95,7 +95,7 @@
 	if r.Config.Ops == "" {
 		return nil
 	}
-	r.hand = hand.New()
+	r.hand = override.New()
 	keeper := handover.New(handover.Options{Dir: r.Shared, Book: r.hand, Log: r.Log})
 	keeper.Start()
 	r.onClose(keeper.Close)
@@ -128,17 +128,17 @@
 	if err != nil {
 		return err
 	}
-	regions := platform.NewRegions(core, r.Log, r.Dial, r.sockets-r.terminals)
+	workers := platform.NewWorkers(core, r.Log, r.Dial, r.sockets-r.terminals)
 	if r.fleet != nil {
 		if l := r.fleet.Connections(); l != nil {
-			regions.Bound(l)
+			workers.Bound(l)
 		}
 	}
-	if r.table, err = r.start(r.inner, core, regions, r.Config.Discovery, r.Config.Known); err != nil {
+	if r.table, err = r.start(r.inner, core, workers, r.Config.Discovery, r.Config.Known); err != nil {
 		return err
 	}
-	r.clients = platform.NewServer(core, regions, r.Log, r.Config.Names, r.terminals)
-	if r.Config.Ops != "" { // upgrades: a region's call-back may reach the other process
+	r.clients = platform.NewServer(core, workers, r.Log, r.Config.Names, r.terminals)
+	if r.Config.Ops != "" { // upgrades: a worker's call-back may reach the other process
 		relay := handover.NewRelay(r.Shared, r.Log, r.clients.Relayed)
 		if err := relay.Start(); err != nil {
 			return err
@@ -165,9 +165,9 @@
 		return err
 	}
 	connections := r.sockets - r.terminals
-	regions := gearman.NewRegions(core, log, r.Dial, connections)
+	workers := gearman.NewWorkers(core, log, r.Dial, connections)
 	terminals := cmp.Or(r.Gearman.Connections, r.terminals)
-	o := gearman.Options{Log: log, File: r.Gearman, Name: r.Config.Name, Most: terminals, Regions: regions.Serving, Shutdown: r.end}
+	o := gearman.Options{Log: log, File: r.Gearman, Name: r.Config.Name, Most: terminals, Workers: workers.Serving, Shutdown: r.end}
 	run, shut := r.background(r.inner, &o, log)
 	server := gearman.NewServer(core, o)
 	run()
@@ -175,7 +175,7 @@
 		r.stop()
 		shut()
 	})
-	if r.second, err = r.start(r.inner, core, regions, r.Gearman.Discovery, nil); err != nil {
+	if r.second, err = r.start(r.inner, core, workers, r.Gearman.Discovery, nil); err != nil {
 		return err
 	}
 	if err := r.open(r.Gearman.Listen, server); err != nil {
--- a/internal/daemon/scenario_test.go
+++ b/internal/daemon/scenario_test.go
@@ -24,9 +24,9 @@
 	"tinroute.example/tinroute/internal/conform"
 )
 
-// The scenario language. The first line names the regions with their cells, and scripts. Each
+// The scenario language. The first line names the workers with their cells, and scripts. Each
 // other line is a verb and who it concerns: a number is a client's
-// request, a small letter a region, a capital letter whichever region got a task first,
+// request, a small letter a worker, a capital letter whichever worker got a task first,
 // "table" discovery, "dispatcher" the daemon.
 //
 //	send 1 CLASS [half]        a client sends request 1, or the first half of its bytes
@@ -62,9 +62,9 @@
 	table   *table
 	old     *table
 	hangup  chan os.Signal
-	reread  string // the discovery that the files name
+	reread  string // discovery that the files name
 	renamed bool   // and they give every class another name
-	regions map[string]*region
+	workers map[string]*worker
 	clients map[string]net.Conn
 	bound   map[string]string
 	rest    []byte
@@ -142,7 +142,7 @@
 	}
 	who := f[1]
 	switch {
-	case len(f) > 2 && f[0] != "wait" && w.regions[who] == nil && f[2] != "raw" && (conform.Known(f[2]) || w.packets[who] != nil):
+	case len(f) > 2 && f[0] != "wait" && w.workers[who] == nil && f[2] != "raw" && (conform.Known(f[2]) || w.packets[who] != nil):
 		w.packet(line, who)
 	case f[0] == "close" && w.packets[who] != nil:
 		require.NoError(w.t, w.packets[who].Close(), line)
@@ -181,8 +181,8 @@
 		w.run()
 	case f[0] == "send" && who == "dispatcher":
 		w.stop()
-	case f[0] == "send" && w.regions[who] != nil:
-		r := w.regions[who]
+	case f[0] == "send" && w.workers[who] != nil:
+		r := w.workers[who]
 		if len(f) == 3 {
 			r.setMode(f[2])
 		} else {
@@ -196,10 +196,10 @@
 		w.table.close()
 	case f[0] == "close" && who == "old":
 		w.old.close()
-	case f[0] == "close" && w.regions[who] != nil && len(f) == 3:
-		w.regions[who].cut(f[2])
-	case f[0] == "close" && w.regions[who] != nil:
-		w.regions[who].close()
+	case f[0] == "close" && w.workers[who] != nil && len(f) == 3:
+		w.workers[who].cut(f[2])
+	case f[0] == "close" && w.workers[who] != nil:
+		w.workers[who].close()
 	case f[0] == "close":
 		require.NoError(w.t, w.clients[who].Close(), line)
 	default:
@@ -315,7 +315,7 @@
 			continue
 		}
 		name, cell, _ := strings.Cut(name, "/")
-		w.regions[name] = newRegion(w, name, cell)
+		w.workers[name] = newWorker(w, name, cell)
 	}
 	w.launch(hooks)
 	defer w.finish()
@@ -331,11 +331,11 @@
 
 func newWorld(t *testing.T, n network, wr wire, fake bool) *world {
 	return &world{t: t, net: n, wire: wr, fake: fake, counts: map[string]int{}, bound: map[string]string{},
-		regions: map[string]*region{}, clients: map[string]net.Conn{}, raw: map[string]*strings.Builder{},
+		workers: map[string]*worker{}, clients: map[string]net.Conn{}, raw: map[string]*strings.Builder{},
 		packets: map[string]*conform.Conn{}, vars: conform.Vars{}, hangup: make(chan os.Signal, 1)}
 }
 
-// launch starts the daemon, with the table and the regions that there are.
+// launch starts the daemon, with the table and the workers that there are.
 func (w *world) launch(hooks []string) {
 	t := w.t
 	w.table = newTable(w, "table")
@@ -392,7 +392,7 @@
 	if w.old != nil {
 		w.old.close()
 	}
-	for _, r := range w.regions {
+	for _, r := range w.workers {
 		r.close()
 	}
 	w.settle()
--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -125,18 +125,18 @@
 	return new(net.Dialer).DialContext(ctx, "tcp", port)
 }
 
-// wire is one protocol as clients and regions speak it.
+// wire is one protocol as clients and workers speak it.
 type wire interface {
 	prepare(t *testing.T, w *world, d *Daemon)
 	address() string
 	request(id, class string) []byte
 	answer(c net.Conn, id string) (verdict string, ok bool)
-	serve(r *region, c net.Conn)
-	tell(r *region, id, state string)
+	serve(r *worker, c net.Conn)
+	tell(r *worker, id, state string)
 }
 
-// region is a stand-in for a worker.
-type region struct {
+// worker is a stand-in for a worker.
+type worker struct {
 	w          *world
 	name, cell string
 	l          net.Listener
@@ -147,10 +147,10 @@
 	traces     map[string]bool // that it was told of
 }
 
-func newRegion(w *world, name, cell string) *region {
+func newWorker(w *world, name, cell string) *worker {
 	l, err := w.net.Listen("tcp", name)
 	require.NoError(w.t, err)
-	r := &region{w: w, name: name, cell: cell, l: l, mode: "normal", conns: map[net.Conn]bool{}, tasks: map[string]net.Conn{}, traces: map[string]bool{}}
+	r := &worker{w: w, name: name, cell: cell, l: l, mode: "normal", conns: map[net.Conn]bool{}, tasks: map[string]net.Conn{}, traces: map[string]bool{}}
 	if p, ok := l.(*pipes); ok {
 		p.late = func() bool { return r.isMode("late") }
 	}
@@ -169,24 +169,24 @@
 	return r
 }
 
-func (r *region) id() string { return "s-0000000" + r.name }
+func (r *worker) id() string { return "s-0000000" + r.name }
 
-// lateBy is how long a connection to a late region takes to come up.
+// lateBy is how long a connection to a late worker takes to come up.
 const lateBy = 200 * time.Millisecond
 
-func (r *region) isMode(mode string) bool {
+func (r *worker) isMode(mode string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.mode == mode
 }
 
-func (r *region) setMode(mode string) {
+func (r *worker) setMode(mode string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.mode = mode
 }
 
-func (r *region) got(id string, c net.Conn) (mode string) {
+func (r *worker) got(id string, c net.Conn) (mode string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.w.happened("%s task %s", r.name, id)
@@ -194,7 +194,7 @@
 	return r.mode
 }
 
-func (r *region) cut(id string) {
+func (r *worker) cut(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.tasks[id]
@@ -203,7 +203,7 @@
 }
 
 // cancelled notes that the dispatcher gave a task up.
-func (r *region) cancelled(id string) {
+func (r *worker) cancelled(id string) {
 	r.mu.Lock()
 	_, had := r.tasks[id]
 	delete(r.tasks, id)
@@ -213,7 +213,7 @@
 	}
 }
 
-func (r *region) close() {
+func (r *worker) close() {
 	_ = r.l.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -261,7 +261,7 @@
 	l, err := w.net.Listen("tcp", name)
 	require.NoError(w.t, err)
 	t := &table{w: w, l: l, version: 1, states: map[string]string{}, changed: make(chan struct{}), done: make(chan struct{})}
-	for name := range w.regions {
+	for name := range w.workers {
 		t.states[name] = "SERVING"
 	}
 	go func() {
@@ -346,7 +346,7 @@
 		for name, state := range t.states {
 			if news && state != "DELETED" {
 				list = append(list, fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"agadir","kind":"large","cell":%s,"state":%q,"weight":1}`,
-					t.w.regions[name].id(), name, t.w.regions[name].cell, state))
+					t.w.workers[name].id(), name, t.w.workers[name].cell, state))
 			}
 		}
 		body := fmt.Sprintf(`{"version":%d,"full":%t,"servers":[%s]}`, t.version, news, strings.Join(list, ","))
@@ -388,7 +388,7 @@
 	return fmt.Sprintf("odd-answer %d %q", r.StatusCode, body), true
 }
 
-func (h *httpWire) serve(r *region, c net.Conn) {
+func (h *httpWire) serve(r *worker, c net.Conn) {
 	in := bufio.NewReader(c)
 	last := ""
 	for {
@@ -429,13 +429,13 @@
 	}
 }
 
-func (r *region) forget(id string) {
+func (r *worker) forget(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.tasks, id)
 }
 
-func (h *httpWire) tell(r *region, id, state string) {
+func (h *httpWire) tell(r *worker, id, state string) {
 	if state == "accepted" {
 		r.mu.Lock()
 		c := r.tasks[id]
@@ -503,7 +503,7 @@
 	return verdict, verdict != ""
 }
 
-func (g *gearmanWire) serve(r *region, c net.Conn) {
+func (g *gearmanWire) serve(r *worker, c net.Conn) {
 	id := ""
 	_ = link.Read(c, gearman.NewRequestFramer(), func(p *gearman.Packet) bool {
 		args, err := p.Args(3)
@@ -525,7 +525,7 @@
 	r.cancelled(id)
 }
 
-func (g *gearmanWire) tell(r *region, id, state string) {
+func (g *gearmanWire) tell(r *worker, id, state string) {
 	r.mu.Lock()
 	c := r.tasks[id]
 	if state != "accepted" && state != "started" && state != "running" {
--- a/internal/daemon/store_test.go
+++ b/internal/daemon/store_test.go
@@ -22,7 +22,7 @@
 func BenchmarkJobCreated(b *testing.B) {
 	w := newWorld(&testing.T{}, &loopback{}, &gearmanWire{}, false)
 	w.store = filepath.Join(b.TempDir(), "jobs")
-	w.regions["a"] = newRegion(w, "a", "0")
+	w.workers["a"] = newWorker(w, "a", "0")
 	w.launch(nil)
 	defer w.finish()
 	due := fmt.Sprint(time.Now().Add(time.Hour).Unix())
@@ -68,7 +68,7 @@
 		w := newWorld(t, &memory{}, &gearmanWire{}, true)
 		w.log = slog.New(slog.NewTextHandler(log, nil))
 		w.store = filepath.Join(t.TempDir(), "no", "such", "jobs")
-		w.regions["a"] = newRegion(w, "a", "0")
+		w.workers["a"] = newWorker(w, "a", "0")
 		w.launch(nil)
 		defer w.finish()
 		for _, line := range []string{`send 1 SUBMIT_JOB_BG price-read u1 j1`, `expect 1 ERROR store_unavailable *`,
--- a/internal/daemon/telemetry_test.go
+++ b/internal/daemon/telemetry_test.go
@@ -82,7 +82,7 @@
 }
 
 // Over both transports and on both fronts a collector is told of every request, of each of its
-// routed tasks once, linked to the one that it repeats, and of phases that fill the whole.
+// attempts once, linked to the one that it repeats, and of phases that fill the whole.
 func TestTelemetry(t *testing.T) {
 	for name, want := range map[string]struct {
 		verdicts map[string]int
@@ -137,12 +137,12 @@
 	}
 }
 
-// A client's trace is taken up, its own span is the parent, and regions are told of the task's span.
+// A client's trace is taken up, its own span is the parent, and workers are told of the task's span.
 func TestTraceContext(t *testing.T) {
 	h := newHeard(t)
 	const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 	w := newWorld(t, &loopback{}, &observed{&httpWire{}, h.env(false)}, false)
-	w.regions["a"], w.regions["b"] = newRegion(w, "a", "0"), newRegion(w, "b", "0")
+	w.workers["a"], w.workers["b"] = newWorker(w, "a", "0"), newWorker(w, "b", "0")
 	w.launch(nil)
 	w.line(`send 1 raw "POST /price-read HTTP/1.1\r\nHost: x\r\nReq-Id: 7\r\nTraceparent: ` + parent + `\r\nTracestate: vendor=x\r\nContent-Length: 0\r\n\r\n"`)
 	w.line("expect X task 7")
@@ -164,7 +164,7 @@
 	}
 	require.Len(t, traces, 2)
 	told := map[string]bool{}
-	for _, r := range w.regions {
+	for _, r := range w.workers {
 		r.mu.Lock()
 		maps.Copy(told, r.traces)
 		r.mu.Unlock()
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -100,11 +100,11 @@
 	begin := func() (*World, *dispatcher, *request) {
 		w, err := New(incident(1, 4))
 		require.NoError(t, err)
-		r := &request{class: 1, work: 0.1, core: w.cores[0], tx: &dispatch.Transaction{ID: "x"}}
+		r := &request{class: 1, work: 0.1, core: w.cores[0], tx: &dispatch.Request{ID: "x"}}
 		return w, w.cores[0], r
 	}
 	job := func(d *dispatcher, r *request) *work {
-		return &work{task: &dispatch.Task{Transaction: r.tx}, core: d, job: r}
+		return &work{task: &dispatch.Attempt{Request: r.tx}, core: d, job: r}
 	}
 	for name, defect := range map[string]func(w *World, d *dispatcher, r *request){
 		"another group": func(w *World, d *dispatcher, r *request) {
@@ -117,7 +117,7 @@
 			w.rules.sent(d, w.nodes[0], job(d, r))
 		},
 		"told to drain": func(w *World, d *dispatcher, r *request) {
-			w.rules.told(d, []dispatch.Region{{Member: balance.Member{ID: w.nodes[0].id, Condition: balance.Draining}}})
+			w.rules.told(d, []dispatch.Worker{{Member: balance.Member{ID: w.nodes[0].id, Condition: balance.Draining}}})
 			w.now += 2 * time.Second
 			w.rules.sent(d, w.nodes[0], job(d, r))
 		},
@@ -143,15 +143,15 @@
 		"has no answer": func(w *World, _ *dispatcher, r *request) {
 			w.open++
 			w.submit(r)
-			r.tx.Terminal = sink{}
+			r.tx.Client = sink{}
 			w.Play(time.Minute)
 		},
 		"was pushed over": func(w *World, d *dispatcher, r *request) {
 			n := w.nodes[0]
 			n.started = w.now
-			w.rules.told(d, []dispatch.Region{{Member: balance.Member{ID: n.id, Started: n.started}}})
+			w.rules.told(d, []dispatch.Worker{{Member: balance.Member{ID: n.id, Started: n.started}}})
 			for range 40 {
-				n.take(&work{task: &dispatch.Task{Transaction: r.tx}, core: d, job: r, whole: 0.5, left: 0.5})
+				n.take(&work{task: &dispatch.Attempt{Request: r.tx}, core: d, job: r, whole: 0.5, left: 0.5})
 			}
 			require.True(t, n.fallen)
 		},
--- a/internal/emulate/model.go
+++ b/internal/emulate/model.go
@@ -229,9 +229,9 @@
 	return true
 }
 
-// work is one routed task at a node.
+// work is one attempt at a node.
 type work struct {
-	task    *dispatch.Task
+	task    *dispatch.Attempt
 	core    *dispatcher
 	job     *request
 	left    float64 // seconds at speed 1
--- a/internal/emulate/play.go
+++ b/internal/emulate/play.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"tinroute.example/tinroute/balance"
@@ -34,23 +33,13 @@
 	work    float64
 	key     string
 	asked   time.Duration // the first try
-	tx      *dispatch.Transaction
+	tx      *dispatch.Request
 	core    *dispatcher
 	try     int
 	over    bool
 	answers int
 }
 
-// dispatcher is one core with its drivers.
-type dispatcher struct {
-	w     *World
-	core  *dispatch.Core
-	n     int
-	works map[*dispatch.Task]*work
-	known map[balance.WorkerID]*node
-	wake  time.Duration
-}
-
 // settings are what a dispatcher of the scenario is told.
 func (s *Scenario) settings(n int) balance.Settings {
 	b := balance.Settings{Seed: s.Seed + uint64(n), Position: n, Fleet: s.Dispatchers, MaxAttempts: 3, Cancel: true, SecondCopies: true, AskList: true,
@@ -81,7 +70,7 @@
 		w.add(x)
 	}
 	for i := range s.Dispatchers {
-		d := &dispatcher{w: w, n: i, works: map[*dispatch.Task]*work{}, known: map[balance.WorkerID]*node{}}
+		d := &dispatcher{w: w, n: i, works: map[*dispatch.Attempt]*work{}, known: map[balance.WorkerID]*node{}}
 		var err error
 		o := dispatch.Options{Settings: s.settings(i), Clock: func() time.Duration { return w.now }}
 		if s.Policy != "" {
@@ -101,7 +90,7 @@
 
 // add sets up a node of the scenario.
 func (w *World) add(x NodeSpec) *node {
-	n := &node{NodeSpec: x, w: w, id: dispatch.RegionID(x.Name), slow: 1}
+	n := &node{NodeSpec: x, w: w, id: dispatch.WorkerIDOf(x.Name), slow: 1}
 	w.nodes, w.byID[n.id] = append(w.nodes, n), n
 	return n
 }
@@ -187,8 +176,8 @@
 	d := w.cores[w.rng.IntN(len(w.cores))]
 	c := w.s.Classes[r.class]
 	r.core = d
-	r.tx = &dispatch.Transaction{ID: fmt.Sprint("r", w.jobs), Class: r.class, Tenant: -1, Key: r.key, Patience: c.Deadline, Hint: time.Duration(r.work * 1e9),
-		Slots: 1, Payload: r, Terminal: r}
+	r.tx = &dispatch.Request{ID: fmt.Sprint("r", w.jobs), Class: r.class, Tenant: -1, Key: r.key, Patience: c.Deadline, Hint: time.Duration(r.work * 1e9),
+		Slots: 1, Payload: r, Client: r}
 	at := w.now
 	w.after(w.s.Network, func() {
 		d.core.Submit(r.tx)
@@ -237,233 +226,3 @@
 		w.after(max(a.RetryAfter, 50*time.Millisecond), func() { w.submit(next) })
 	}
 }
-
-// settle sees to it that the core's next timer is met.
-func (d *dispatcher) settle() {
-	next, ok := d.core.Advance()
-	if !ok || d.wake > d.w.now && d.wake <= next {
-		return
-	}
-	d.wake = max(next, d.w.now+time.Microsecond)
-	d.w.after(d.wake-d.w.now, func() {
-		if d.w.now >= d.wake {
-			d.wake = 0
-			d.settle()
-		}
-	})
-}
-
-// Start carries a routed task to its node.
-func (d *dispatcher) Start(t *dispatch.Task) {
-	r := t.Transaction.Payload.(*request)
-	n := d.known[t.Region.ID]
-	j := &work{task: t, core: d, job: r, left: r.work, whole: r.work}
-	d.works[t] = j
-	d.w.res.Sends++
-	d.w.rules.sent(d, n, j)
-	d.w.note("%s to %s", t.Transaction.ID, t.Region.Name)
-	d.w.after(d.w.s.Network, func() {
-		if n.silent { // no connection comes up
-			d.w.after(d.core.Settings().ConnectTimeout, func() {
-				if !j.gone {
-					j.gone = true
-					d.ended(j, balance.StatusUnreachable)
-				}
-			})
-			return
-		}
-		n.take(j)
-	})
-}
-
-// Cancel gives a routed task up.
-func (d *dispatcher) Cancel(t *dispatch.Task) {
-	j := d.works[t]
-	if j == nil {
-		return
-	}
-	n := d.known[t.Region.ID]
-	d.w.after(d.w.s.Network, func() {
-		if n.silent || j.gone {
-			return
-		}
-		j.gone = true
-		n.drop(j)
-		d.w.after(d.w.s.Network, func() { d.ended(j, balance.StatusCancelled) })
-	})
-}
-
-func (d *dispatcher) ended(j *work, s balance.Status) {
-	if d.works[j.task] == nil {
-		return
-	}
-	delete(d.works, j.task)
-	d.w.rules.outcome(j, s)
-	d.core.Ended(j.task, s, []byte("r"))
-	d.settle()
-}
-
-func (d *dispatcher) started(j *work) {
-	if d.works[j.task] != nil {
-		d.core.Started(j.task)
-		d.settle()
-	}
-}
-
-// Listed is told of the regions.
-func (d *dispatcher) Listed([]dispatch.Region) {}
-
-// Watch and Fetch ask discovery.
-func (d *dispatcher) Watch() { d.ask() }
-
-// Fetch asks for the whole list.
-func (d *dispatcher) Fetch() { d.ask() }
-
-func (d *dispatcher) ask() {
-	d.w.after(2*d.w.s.Network, func() {
-		if d.w.out {
-			d.core.ListFailed()
-		} else {
-			d.list(balance.ListFull)
-		}
-		d.settle()
-	})
-}
-
-func (d *dispatcher) list(how balance.ListKind) {
-	list := make([]dispatch.Region, 0, len(d.w.nodes))
-	for _, n := range d.w.nodes {
-		if d.known[n.id] = n; n.state == balance.Gone {
-			continue
-		}
-		list = append(list, dispatch.Region{Name: n.Name, Addr: n.Name, Member: balance.Member{ID: n.id, Condition: n.state, Weight: float64(n.Cores), Kind: n.Kind, Zone: n.Zone,
-			Cell: n.Cell, Started: n.started}})
-	}
-	d.w.rules.told(d, list) // first: the core acts on it at once
-	d.core.Listed(how, list)
-	d.settle()
-}
-
-// changed brings a change of the list to the dispatchers, as late as discovery is.
-func (w *World) changed() {
-	w.after(w.s.Discovery, func() {
-		if w.out {
-			return
-		}
-		for _, d := range w.cores {
-			d.list(balance.ListFull)
-		}
-	})
-}
-
-// fail begins a failure and sets its end.
-func (w *World) fail(f Failure) {
-	w.note("failure %s", f.Kind)
-	switch f.Kind {
-	case Outage:
-		w.out = true
-		for _, d := range w.cores {
-			d.core.ListFailed()
-			d.settle()
-		}
-		w.after(f.For, func() { w.out = false; w.changed() })
-		return
-	case Cost:
-		w.cost[f.Class] = f.Size
-		w.after(f.For, func() { delete(w.cost, f.Class) })
-		return
-	}
-	var struck []*node
-	for _, n := range w.nodes {
-		if slices.Contains(f.Nodes, n.Name) {
-			struck = append(struck, n)
-		}
-	}
-	if len(f.Nodes) == 0 {
-		for _, i := range w.rng.Perm(len(w.nodes))[:min(len(w.nodes), int(math.Ceil(f.Share*float64(len(w.nodes)))))] {
-			struck = append(struck, w.nodes[i])
-		}
-	}
-	for i, n := range struck {
-		if f.Kind == Replace {
-			w.after(f.For*time.Duration(i)/time.Duration(len(struck)), n.replace)
-			continue
-		}
-		w.note("%s at %s", f.Kind, n.Name)
-		n.reckon()
-		n.strike(f)
-		n.plan()
-		w.after(f.For, func() {
-			n.reckon()
-			n.heal(f)
-			n.fill()
-		})
-	}
-}
-
-// replace drains a node, sets a cold one in its place, and ends it.
-func (n *node) replace() {
-	w := n.w
-	w.note("%s at %s", Replace, n.Name)
-	n.state = balance.Draining
-	w.changed()
-	w.after(2*time.Second, func() {
-		x := n.NodeSpec
-		x.Name += "'"
-		w.add(x).started = w.now
-		w.changed()
-	})
-	w.after(5*time.Second, func() {
-		n.lose(true)
-		n.state, n.silent = balance.Gone, true
-		w.changed()
-	})
-}
-
-func (n *node) strike(f Failure) {
-	switch f.Kind {
-	case Vanish:
-		n.silent = true
-		n.lose(false)
-	case Slow:
-		n.slow *= max(1, f.Size)
-	case Hang:
-		n.hang = true
-	case Refuse:
-		n.refuse = true
-	case Fail:
-		n.failing = f.Size
-	case Reset:
-		n.lose(true)
-	case Pause:
-		n.paused = true
-	case Drain:
-		n.state = balance.Draining
-		n.w.changed()
-	}
-}
-
-func (n *node) heal(f Failure) {
-	switch f.Kind {
-	case Vanish:
-		if n.fallen {
-			return
-		}
-		n.silent, n.started = false, n.w.now
-		n.w.changed()
-	case Slow:
-		n.slow /= max(1, f.Size)
-	case Hang:
-		n.hang = false
-		n.lose(true)
-	case Refuse:
-		n.refuse = false
-	case Fail:
-		n.failing = 0
-	case Pause:
-		n.paused = false
-	case Drain:
-		n.state = balance.Serving
-		n.w.changed()
-	}
-}
--- a/internal/emulate/rules.go
+++ b/internal/emulate/rules.go
@@ -52,7 +52,7 @@
 	r.asked[class]++
 }
 
-func (r *rules) told(d *dispatcher, list []dispatch.Region) {
+func (r *rules) told(d *dispatcher, list []dispatch.Worker) {
 	if r.drains == nil {
 		r.drains, r.starts = map[[2]uint64]time.Duration{}, map[[2]uint64]time.Duration{}
 	}
@@ -68,7 +68,7 @@
 }
 
 func (r *rules) sent(d *dispatcher, n *node, j *work) {
-	id, c := j.task.Transaction.ID, r.w.s.Classes[j.job.class].Class
+	id, c := j.task.Request.ID, r.w.s.Classes[j.job.class].Class
 	if since, ok := r.drains[[2]uint64{uint64(d.n), uint64(n.id)}]; ok && r.w.now > since+drainGrace {
 		r.broke("%s was sent to %s, told to drain since %v", id, n.Name, since-epoch)
 	}
@@ -87,7 +87,7 @@
 }
 
 func (r *rules) of(j *work) *send {
-	l := r.sends[j.task.Transaction.ID]
+	l := r.sends[j.task.Request.ID]
 	for i := range l {
 		if l[i].work == j {
 			return &l[i]
@@ -109,7 +109,7 @@
 	}
 	s.done, s.never = true, status.NeverRan()
 	if s.never && s.ran {
-		r.broke("%s ran and its outcome is %v", j.task.Transaction.ID, status)
+		r.broke("%s ran and its outcome is %v", j.task.Request.ID, status)
 	}
 }
 
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -85,7 +85,7 @@
 	return m.rates[i].Take(m.o.Clock(), n)
 }
 
-// Open, Closed and Over are the budget of connections at each worker; they implement link.Limit.
+// Open asks for one more connection to a worker; with Closed and Over it implements link.Limit.
 func (m *Member) Open(addr string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/gearman/gearman_test.go
+++ b/internal/gearman/gearman_test.go
@@ -13,7 +13,7 @@
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
 	"tinroute.example/tinroute/internal/config"
-	"tinroute.example/tinroute/internal/jobbook"
+	"tinroute.example/tinroute/internal/jobindex"
 )
 
 // frames feeds bytes in pieces of so many and returns what comes of them.
@@ -66,9 +66,9 @@
 		ConnectTimeout: time.Second, Classes: []balance.Class{{Name: "f", Deadline: time.Second, Kind: -1}}}})
 	require.NoError(t, err)
 	file := &config.Gearman{Functions: map[string]config.Function{"f": {Deadline: time.Second}},
-		Limits: jobbook.Limits{PerClient: 4, PerFunction: map[string]int{}}}
+		Limits: jobindex.Limits{PerClient: 4, PerFunction: map[string]int{}}}
 	return NewServer(core, Options{Log: slog.New(slog.DiscardHandler), File: file, Name: "n0", Most: 10,
-		Regions: func() []dispatch.Region { return []dispatch.Region{{Name: "b\n"}, {Name: "a"}} }})
+		Workers: func() []dispatch.Worker { return []dispatch.Worker{{Name: "b\n"}, {Name: "a"}} }})
 }
 
 // Any line gets an answer of whole lines that a client can read, and none harms the server.
--- a/internal/gearman/job.go
+++ b/internal/gearman/job.go
@@ -9,17 +9,17 @@
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
-	"tinroute.example/tinroute/internal/jobbook"
+	"tinroute.example/tinroute/internal/jobindex"
 	"tinroute.example/tinroute/internal/jobstore"
 )
 
-// job is one job, and the payload of its transactions: a background job may be offered as
+// job is one job, and the payload of its requests: a background job may be offered as
 // several, one after another.
 type job struct {
 	server                         *Server
 	handle, function, unique, data string
-	entry                          *jobbook.Job[*client] // guarded by Server.mu, as are tx, offers and put
-	tx                             *dispatch.Transaction // out, or nil
+	entry                          *jobindex.Job[*client] // guarded by Server.mu, as are request, offers and put
+	request                        *dispatch.Request      // out, or nil
 	offers                         int
 	put                            []func(error) // submitters that wait until it is on disk; nil once it is
 
@@ -28,17 +28,17 @@
 	sends     int
 	first     *jobstore.Send // the earliest that may have run
 	last      *jobstore.Send
-	began     time.Time // this transaction
+	began     time.Time // this request
 	left      bool      // ... and whether it has been sent
-	exception []byte    // a region's word on why it failed
+	exception []byte    // a worker's word on why it failed
 }
 
-// sending is told of a routed task before it leaves; after an error it must not. A stored job's
+// sending is told of an attempt before it leaves; after an error it must not. A stored job's
 // is written down first.
-func (j *job) sending(ctx context.Context, t *dispatch.Task) error {
+func (j *job) sending(ctx context.Context, t *dispatch.Attempt) error {
 	j.mu.Lock()
 	id := j.id
-	s := jobstore.Send{Region: t.Region.Name, Worker: t.Region.ID, Zone: t.Region.Zone, Cell: t.Region.Cell}
+	s := jobstore.Send{Region: t.Worker.Name, Worker: t.Worker.ID, Zone: t.Worker.Zone, Cell: t.Worker.Cell}
 	if k := j.server.keeper; k != nil {
 		s.At = k.Now()
 	}
@@ -55,7 +55,7 @@
 	return j.server.keeper.Sending(ctx, id, s)
 }
 
-// ended is told of a routed task's outcome.
+// ended is told of an attempt's outcome.
 func (j *job) ended(status balance.Status) {
 	if !status.NeverRan() {
 		return
@@ -85,7 +85,7 @@
 	return j.id
 }
 
-// What a region gives for a job is packets: WORK_DATA and WORK_WARNING, and WORK_COMPLETE at
+// What a worker gives for a job is packets: WORK_DATA and WORK_WARNING, and WORK_COMPLETE at
 // the end. The core hands their bytes on as a result, each as its type, its length and its data.
 
 func appendPart(b []byte, t Type, data []byte) []byte {
@@ -113,13 +113,13 @@
 }
 
 // NewWatch returns the observer that a Server's core needs for background jobs: it tells the
-// server when its transactions are sent.
+// server when its requests are sent.
 func NewWatch() dispatch.Observer { return watch{} }
 
 type watch struct{}
 
-func (watch) Began(tx *dispatch.Transaction) {
-	if j, ok := tx.Payload.(*job); ok {
+func (watch) Began(request *dispatch.Request) {
+	if j, ok := request.Payload.(*job); ok {
 		j.mu.Lock()
 		j.began, j.left = time.Now(), false
 		j.mu.Unlock()
@@ -128,8 +128,8 @@
 
 // Sent tells how long a foreground job has waited for room, on which the pace of background
 // jobs hangs.
-func (watch) Sent(t *dispatch.Task) {
-	j, ok := t.Transaction.Payload.(*job)
+func (watch) Sent(t *dispatch.Attempt) {
+	j, ok := t.Request.Payload.(*job)
 	if !ok || j.server.keeper == nil {
 		return
 	}
@@ -142,7 +142,7 @@
 	}
 }
 
-func (watch) Withdrawn(*dispatch.Task)                            {}
-func (watch) Ended(*dispatch.Task, balance.Status, time.Duration) {}
-func (watch) Answered(*dispatch.Transaction, dispatch.Answer)     {}
-func (watch) Left(*dispatch.Transaction)                          {}
+func (watch) Withdrawn(*dispatch.Attempt)                            {}
+func (watch) Ended(*dispatch.Attempt, balance.Status, time.Duration) {}
+func (watch) Answered(*dispatch.Request, dispatch.Answer)            {}
+func (watch) Left(*dispatch.Request)                                 {}
--- a/internal/gearman/packet.go
+++ b/internal/gearman/packet.go
@@ -1,5 +1,5 @@
-// Package gearman is the second front: to terminals it is a Gearman job server, to the
-// regions of its service table it is a Gearman client. Every decision is the core's.
+// Package gearman is the second front: to client connections it is a Gearman job server, to the
+// workers of its discovery it is a Gearman client. Every decision is the core's.
 package gearman
 
 import (
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -12,9 +12,9 @@
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
 	"tinroute.example/tinroute/internal/background"
-	"tinroute.example/tinroute/internal/complain"
 	"tinroute.example/tinroute/internal/config"
-	"tinroute.example/tinroute/internal/jobbook"
+	"tinroute.example/tinroute/internal/jobindex"
+	"tinroute.example/tinroute/internal/limitedlog"
 	"tinroute.example/tinroute/internal/link"
 )
 
@@ -48,7 +48,7 @@
 	File     *config.Gearman
 	Name     string // the dispatcher's, part of every handle
 	Most     int    // connections at once
-	Regions  func() []dispatch.Region
+	Workers  func() []dispatch.Worker
 	Keeper   func(background.Front) *background.Keeper // nil where there is no job store
 	Down     error                                     // why the job store that is configured could not be opened
 	Shutdown func()                                    // ends the process in order, for the text protocol
@@ -56,18 +56,18 @@
 
 // Server is the job server that Gearman clients meet.
 type Server struct {
-	o        Options
-	core     *dispatch.Core
-	log      *slog.Logger
-	file     *config.Gearman
-	server   link.Server
-	complain *complain.Book
-	keeper   *background.Keeper // nil where off
-	nextJob  atomic.Uint64
-	classes  map[string]*balance.Class // by function
+	o          Options
+	core       *dispatch.Core
+	log        *slog.Logger
+	file       *config.Gearman
+	server     link.Server
+	limitedLog *limitedlog.Logger
+	keeper     *background.Keeper // nil where off
+	nextJob    atomic.Uint64
+	classes    map[string]*balance.Class // by function
 
 	mu       sync.Mutex
-	book     *jobbook.Book[*client]
+	book     *jobindex.Index[*client]
 	dropped  map[string]bool // functions that take no new jobs
 	draining bool            // no stored job is offered any more
 	fan      []delivery      // what waits to be told to many
@@ -76,8 +76,8 @@
 
 // NewServer returns a server for the core, which must have NewWatch among its observers.
 func NewServer(core *dispatch.Core, o Options) *Server {
-	s := &Server{o: o, core: core, log: o.Log, file: o.File, complain: complain.New(o.Log, nil), dropped: map[string]bool{},
-		classes: map[string]*balance.Class{}, book: jobbook.New[*client](o.File.Limits)}
+	s := &Server{o: o, core: core, log: o.Log, file: o.File, limitedLog: limitedlog.New(o.Log, nil), dropped: map[string]bool{},
+		classes: map[string]*balance.Class{}, book: jobindex.New[*client](o.File.Limits)}
 	for name, f := range o.File.Functions {
 		s.classes[name] = &core.Settings().Classes[f.Class]
 	}
@@ -147,7 +147,7 @@
 	})
 	if bad := (*link.Malformed)(nil); errors.As(err, &bad) {
 		last = true
-		s.complain.Complain("malformed packet", c.RemoteAddr(), err.Error())
+		s.limitedLog.Report("malformed packet", c.RemoteAddr(), err.Error())
 		if errors.Is(err, errLine) {
 			c.send([]byte(errTooLong))
 		} else {
@@ -182,21 +182,21 @@
 func (s *Server) leave(c *client) {
 	s.mu.Lock()
 	c.gone = true
-	var out []*dispatch.Transaction
+	var out []*dispatch.Request
 	givenUp, unwatched := s.book.Leave(c)
 	for _, e := range unwatched {
 		s.rest(e.Payload.(*job))
 	}
 	for _, e := range givenUp {
 		j := e.Payload.(*job)
-		if j.tx != nil {
-			out = append(out, j.tx)
-			j.tx = nil
+		if j.request != nil {
+			out = append(out, j.request)
+			j.request = nil
 		}
 	}
 	s.mu.Unlock()
-	for _, tx := range out {
-		s.core.Leave(tx)
+	for _, request := range out {
+		s.core.Leave(request)
 	}
 }
 
@@ -235,7 +235,7 @@
 	select {
 	case c.out <- p:
 	default:
-		c.complain.Complain("slow reader closed", c.RemoteAddr(), "outbox full")
+		c.limitedLog.Report("slow reader closed", c.RemoteAddr(), "outbox full")
 		_ = c.Close()
 	}
 }
--- a/internal/gearman/stored.go
+++ b/internal/gearman/stored.go
@@ -35,25 +35,25 @@
 	}
 	j := s.reopen(o)
 	j.offers = max(j.offers, o.State.Offers+o.State.Sends) // ids that were in use before a restart are not used again
-	tx := s.transaction(j, s.file.Functions[j.function])
-	tx.Earlier = earlier
+	request := s.request(j, s.file.Functions[j.function])
+	request.Earlier = earlier
 	s.mu.Unlock()
-	s.core.Submit(tx)
+	s.core.Submit(request)
 }
 
 // Withdraw takes an offer back.
 func (s *Server) Withdraw(o *jobstore.Stored) {
 	s.mu.Lock()
-	var tx *dispatch.Transaction
+	var request *dispatch.Request
 	if e := s.book.Handle(o.Job.Handle); e != nil {
 		j := e.Payload.(*job)
-		tx, j.tx = j.tx, nil
+		request, j.request = j.request, nil
 		s.fail(j, ending)
 		s.rest(j)
 	}
 	s.mu.Unlock()
-	if tx != nil {
-		s.core.Leave(tx)
+	if request != nil {
+		s.core.Leave(request)
 	}
 }
 
@@ -78,7 +78,7 @@
 func (s *Server) Missing(handle string) {
 	s.mu.Lock()
 	e := s.book.Handle(handle)
-	if e == nil || e.Payload.(*job).tx != nil {
+	if e == nil || e.Payload.(*job).request != nil {
 		s.mu.Unlock()
 		return
 	}
@@ -92,9 +92,9 @@
 	j.mu.Lock()
 	j.id = 0
 	j.mu.Unlock()
-	tx := s.transaction(j, s.file.Functions[j.function])
+	request := s.request(j, s.file.Functions[j.function])
 	s.mu.Unlock()
-	s.core.Submit(tx)
+	s.core.Submit(request)
 }
 
 // Class is a function's class, or nil.
@@ -116,7 +116,7 @@
 // disk.
 func (s *Server) cancel(handle string) error {
 	s.mu.Lock()
-	var tx *dispatch.Transaction
+	var request *dispatch.Request
 	e := s.book.Handle(handle)
 	background := e == nil
 	if e != nil {
@@ -126,13 +126,13 @@
 			return jobstore.ErrUnknown
 		}
 		background = e.Background
-		tx, j.tx = j.tx, nil
+		request, j.request = j.request, nil
 		s.fail(j, "cancelled")
 		s.book.Close(e)
 	}
 	s.mu.Unlock()
-	if tx != nil {
-		s.core.Leave(tx)
+	if request != nil {
+		s.core.Leave(request)
 	}
 	if !background {
 		return nil
--- a/internal/gearman/submit.go
+++ b/internal/gearman/submit.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/zeebo/blake3"
@@ -13,7 +12,7 @@
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
 	"tinroute.example/tinroute/internal/config"
-	"tinroute.example/tinroute/internal/jobbook"
+	"tinroute.example/tinroute/internal/jobindex"
 	"tinroute.example/tinroute/internal/jobstore"
 )
 
@@ -71,13 +70,13 @@
 // refuse answers what is not served. A connection that brings nothing else is closed in the end.
 func (c *client) refuse(code, text string) {
 	c.bad++
-	c.complain.Complain("packet not served", c.RemoteAddr(), code, "why", text)
+	c.limitedLog.Report("packet not served", c.RemoteAddr(), code, "why", text)
 	c.send(Response(Error, code, text))
 }
 
 // turnAway answers a good submission that finds no room: the client may come again.
 func (c *client) turnAway(code string, why error) {
-	c.complain.Complain("job not taken", c.RemoteAddr(), code, "why", why.Error())
+	c.limitedLog.Report("job not taken", c.RemoteAddr(), code, "why", why.Error())
 	c.send(Response(Error, code, why.Error()))
 }
 
@@ -181,7 +180,7 @@
 			promote = o
 		}
 	}
-	var tx *dispatch.Transaction
+	var request *dispatch.Request
 	if e == nil {
 		if err := c.book.MayOpen(j.function, len(j.data), c.waiting(j.function)); err != nil {
 			c.mu.Unlock()
@@ -191,64 +190,24 @@
 		j.handle = c.newHandle()
 		e = c.book.Open(j.handle, j.function, j.unique, len(j.data), false)
 		e.Payload, j.entry = j, e
-		tx = c.transaction(j, f)
+		request = c.request(j, f)
 	}
 	c.book.Join(e, c)
 	c.owed++
 	c.Busy(1)
 	c.send(Response(JobCreated, e.Handle)) // before any answer: both are handed over under the lock
 	c.mu.Unlock()
-	if tx != nil {
-		c.core.Submit(tx)
+	if request != nil {
+		c.core.Submit(request)
 	}
 	if promote != nil {
 		c.promote(promote)
 	}
 }
 
-// unoffered tells whether a stored job is on disk and not with the core. s.mu is held.
-func (j *job) unoffered() bool { return j.entry.Background && j.tx == nil && j.put == nil }
-
-// promote has a stored job offered next, since a client waits for it. It may not be due by its own
-// client's word, or be just being written down: whoever waits for it gets an answer within the
-// function's deadline all the same, and at once if nothing is offered any more.
-func (s *Server) promote(j *job) {
-	late := func(reason string) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if j.unoffered() && s.book.Handle(j.handle) == j.entry {
-			s.fail(j, reason)
-			s.rest(j)
-		}
-	}
-	s.mu.Lock()
-	draining := s.draining
-	s.mu.Unlock()
-	if draining {
-		late(ending)
-		return
-	}
-	s.keeper.Promote(j.number(), j.handle)
-	time.AfterFunc(s.file.Functions[j.function].Deadline, func() { late("its time has not come") })
-}
-
-// ending is what those are told who wait for a stored job when the process ends.
-const ending = "the dispatcher is ending; the job stays stored"
-
-// failUnoffered tells those who wait for stored jobs that are not with the core that they wait in vain. s.mu
-// is held.
-func (s *Server) failUnoffered() {
-	for _, e := range s.book.Jobs(-1) {
-		if j := e.Payload.(*job); j.unoffered() {
-			s.fail(j, ending)
-			s.rest(j)
-		}
-	}
-}
-
 func code(err error) string {
 	switch {
-	case errors.Is(err, jobbook.ErrClient):
+	case errors.Is(err, jobindex.ErrClient):
 		return codeBusy
 	case errors.Is(err, jobstore.ErrUnavailable), errors.Is(err, jobstore.ErrClosed):
 		return codeStore
@@ -256,247 +215,15 @@
 	return codeQueue
 }
 
-// transaction makes a job's next transaction. Its id is never one that a region may still have
-// a task of. s.mu is held.
-func (s *Server) transaction(j *job, f config.Function) *dispatch.Transaction {
+// request makes a job's next request. Its id is never one that a worker may still have
+// an attempt of. s.mu is held.
+func (s *Server) request(j *job, f config.Function) *dispatch.Request {
 	j.offers++
 	id := j.handle
 	if j.offers > 1 {
 		id += "#" + strconv.Itoa(j.offers)
 	}
-	j.tx = &dispatch.Transaction{ID: id, Class: f.Class, Tenant: f.Tenant, Patience: f.Deadline, Hint: f.Cost, Slots: 1, Payload: j}
-	j.tx.Terminal = &terminal{j, j.tx}
-	return j.tx
-}
-
-// submitBackground takes a job that no one waits for. JOB_CREATED is written once it is on disk.
-func (c *client) submitBackground(j *job, due time.Time) {
-	reply := func(handle string) func(error) {
-		return func(err error) {
-			if err != nil {
-				c.turnAway(code(err), err)
-			} else {
-				c.send(Response(JobCreated, handle))
-			}
-			c.Busy(-1)
-		}
-	}
-	c.Busy(1) // a drain leaves the connection open until this is answered
-	if o := c.stored(j); o != nil {
-		reply(o.Job.Handle)(nil)
-		return
-	}
-	c.mu.Lock()
-	if e := c.book.Find(j.function, j.unique); e != nil {
-		o := e.Payload.(*job)
-		switch {
-		case o.put != nil: // on its way to the disk: they share its fate
-			o.put = append(o.put, reply(e.Handle))
-			c.mu.Unlock()
-		case e.Background:
-			c.mu.Unlock()
-			reply(e.Handle)(nil)
-		default: // a client waits for it; from now on it goes on without one
-			c.store(o, due, reply(e.Handle))
-		}
-		return
-	}
-	err := c.book.MayOpen(j.function, len(j.data), c.waiting(j.function))
-	if err == nil {
-		err = c.keeper.Admit(len(j.data))
-	}
-	if err != nil {
-		c.mu.Unlock()
-		reply("")(err)
-		return
-	}
-	j.handle = c.newHandle()
-	j.entry = c.book.Open(j.handle, j.function, j.unique, len(j.data), false)
-	j.entry.Payload = j
-	c.store(j, due, reply(j.handle))
-}
-
-// store puts a job on disk. It is called with s.mu held and gives it up: the store's queue may
-// have to be waited for.
-func (s *Server) store(j *job, due time.Time, reply func(error)) {
-	s.book.SetBackground(j.entry, true)
-	j.put = []func(error){reply}
-	offered := j.tx != nil
-	id := s.keeper.Number()
-	st := j.state(id)
-	s.mu.Unlock()
-	now := s.keeper.Now()
-	rec := &jobstore.Job{ID: id, Handle: j.handle, Function: j.function, Unique: j.unique, Data: []byte(j.data), Accepted: now}
-	if st.Due = now; !due.IsZero() && !offered {
-		rec.Timed, st.Timed, st.Due = true, true, time.Duration(due.UnixNano())
-	}
-	s.keeper.Accept(rec, st, offered, func(err error) { s.put(j, err) })
-}
-
-// put takes word that a job is on disk, or could not be brought there.
-func (s *Server) put(j *job, err error) {
-	s.mu.Lock()
-	replies := j.put
-	j.put = nil
-	var tx *dispatch.Transaction
-	switch {
-	case err == nil:
-	case j.entry.Waiting == 0: // no one but the submitters knew of it
-		s.book.Close(j.entry)
-		tx, j.tx = j.tx, nil
-	default: // clients wait for it: it is theirs alone again
-		s.book.SetBackground(j.entry, false)
-		j.mu.Lock()
-		j.id = 0
-		j.mu.Unlock()
-	}
-	resubmit := err != nil && j.entry.Waiting > 0 && j.tx == nil
-	if resubmit {
-		tx = s.transaction(j, s.file.Functions[j.function])
-	}
-	promote := err == nil && j.entry.Waiting > 0 && j.unoffered()
-	s.rest(j)
-	s.mu.Unlock()
-	for _, r := range replies {
-		r(err)
-	}
-	switch {
-	case resubmit:
-		s.core.Submit(tx)
-	case tx != nil:
-		s.core.Leave(tx)
-	case promote:
-		s.promote(j)
-	}
-}
-
-// rest closes the book on a stored job that nobody waits for until it is offered: a million of
-// them must not be held in memory. s.mu is held.
-func (s *Server) rest(j *job) {
-	if j.entry.Background && j.tx == nil && j.put == nil && j.entry.Waiting == 0 {
-		s.book.Close(j.entry)
-	}
-}
-
-// terminal is the job's side of one of its transactions.
-type terminal struct {
-	*job
-	tx *dispatch.Transaction
-}
-
-// Answer gives the one final answer to all who wait. A background job that was not served goes
-// on without them, as recovery decides.
-func (t *terminal) Answer(a dispatch.Answer) {
-	s, j := t.server, t.job
-	s.mu.Lock()
-	if j.tx != t.tx { // it was given up
-		s.mu.Unlock()
-		return
-	}
-	j.tx = nil
-	var once sync.Once
-	d := delivery{final: true, told: func(whole bool) { once.Do(func() { s.core.Written(t.tx, whole) }) }}
-	d.plain, d.full = j.answer(a)
-	background := j.entry.Background
-	if background && a.Verdict != dispatch.Served {
-		d.to = s.book.Detach(j.entry)
-		s.book.Rest(j.entry)
-		s.rest(j)
-	} else {
-		d.to = s.book.Close(j.entry)
-	}
-	if len(d.to) == 0 { // no one is written to, and observers wait for no one
-		d.told(true)
-	}
-	s.deliver(d)
-	s.mu.Unlock()
-	if background {
-		s.keeper.Ended(j.number(), ends(a), a.RetryAfter)
-	}
-}
-
-// answer words a final answer, without and with the option exceptions. A client with it is told
-// the reason by WORK_EXCEPTION, and by WORK_FAIL that this was all, as gearmand does.
-func (j *job) answer(a dispatch.Answer) (plain, full []byte) {
-	if a.Verdict == dispatch.Served {
-		err := eachPart(a.Result, func(t Type, data []byte) { plain = append(plain, Response(t, j.handle, string(data))...) })
-		if err == nil {
-			return plain, plain
-		}
-		j.server.log.Error("result cut short", "handle", j.handle, "err", err)
-	}
-	plain = Response(WorkFail, j.handle)
-	reason := ""
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	switch {
-	case a.Verdict == dispatch.Refused:
-		if reason = "refused: " + a.Reason; a.RetryAfter > 0 {
-			reason += fmt.Sprintf("; retry after %.3f s", a.RetryAfter.Seconds())
-		}
-	case j.exception != nil:
-		reason = string(j.exception)
-	default:
-		return plain, plain
-	}
-	return plain, append(Response(WorkException, j.handle, reason), plain...)
+	j.request = &dispatch.Request{ID: id, Class: f.Class, Tenant: f.Tenant, Patience: f.Deadline, Hint: f.Cost, Slots: 1, Payload: j}
+	j.request.Client = &submission{j, j.request}
+	return j.request
 }
-
-// Progress passes a region's progress on.
-func (t *terminal) Progress(share float64) {
-	s := t.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if t.job.tx != t.tx || !s.book.Progress(t.entry, share) {
-		return
-	}
-	d := delivery{to: map[*client]int{}}
-	d.plain = Response(WorkStatus, t.handle, percent(share), "100")
-	d.full = d.plain
-	t.entry.Each(func(c *client) {
-		if len(c.out) < cap(c.out)/4 { // none that the client is too slow to read
-			d.to[c]++
-		}
-	})
-	s.deliver(d)
-}
-
-func (c *client) status(handle string) {
-	c.mu.Lock()
-	known, running, share := "0", "0", 0.0
-	e := c.book.Handle(handle)
-	if e != nil {
-		if known, share = "1", e.Share; e.Running {
-			running = "1"
-		}
-	}
-	c.mu.Unlock()
-	if e == nil && c.keeper != nil {
-		if o, err := c.keeper.Store().Handle(handle); err == nil && o.State.Dead == "" {
-			known = "1"
-		}
-	}
-	c.send(Response(StatusRes, handle, known, running, percent(share), "100"))
-}
-
-func (c *client) statusUnique(unique string) {
-	c.mu.Lock()
-	known, running, share, waiting := "0", "0", 0.0, 0
-	e := c.book.Unique(unique)
-	if e != nil {
-		if known, share, waiting = "1", e.Share, e.Waiting; e.Running {
-			running = "1"
-		}
-	}
-	c.mu.Unlock()
-	if e == nil && c.keeper != nil {
-		for function := range c.file.Functions {
-			if o, err := c.keeper.Store().Unique(function, unique); err == nil && o.State.Dead == "" {
-				known = "1"
-			}
-		}
-	}
-	c.send(Response(StatusResUnique, unique, known, running, percent(share), "100", strconv.Itoa(waiting)))
-}
-
-func percent(share float64) string { return strconv.Itoa(int(100 * min(max(share, 0), 1))) }
--- a/internal/gearman/text.go
+++ b/internal/gearman/text.go
@@ -50,7 +50,7 @@
 	answer := c.answerTo(f)
 	if strings.HasPrefix(answer, "ERR") {
 		c.bad = before + 1
-		c.complain.Complain("command not served", c.RemoteAddr(), strings.Fields(answer)[1])
+		c.limitedLog.Report("command not served", c.RemoteAddr(), strings.Fields(answer)[1])
 	}
 	c.send([]byte(answer))
 }
@@ -84,15 +84,7 @@
 	case "release job":
 		return c.release(arg(2))
 	case "store compact":
-		if c.keeper == nil {
-			return errNoStore
-		}
-		done := make(chan error, 1)
-		c.keeper.Store().Compact(func(err error) { done <- err })
-		if err := <-done; err != nil {
-			return fmt.Sprintf(errStoreFailed, plus(err))
-		}
-		return textOK
+		return c.compact()
 	}
 	switch f[0] {
 	case "status":
@@ -113,19 +105,38 @@
 		return fmt.Sprintf(errArgs, f[0])
 	case "store":
 		return c.storeStatus()
-	case "shutdown": // both kinds drain: a job that was taken is owed its answer
-		if !c.file.Shutdown || c.o.Shutdown == nil {
-			return errForbidden
-		}
-		if len(f) > 1 && f[1] != "graceful" {
-			return fmt.Sprintf(errArgs, "shutdown")
-		}
-		time.AfterFunc(10*time.Millisecond, c.o.Shutdown) // the answer goes first
-		return textOK
+	case "shutdown":
+		return c.shutdown(f)
 	}
 	return fmt.Sprintf(errCommand, "+"+oneLine(strings.ToValidUTF8(fmt.Sprintf("%.40s", f[0]), "?")))
 }
 
+// compact makes the job store's file small.
+func (c *client) compact() string {
+	if c.keeper == nil {
+		return errNoStore
+	}
+	done := make(chan error, 1)
+	c.keeper.Store().Compact(func(err error) { done <- err })
+	if err := <-done; err != nil {
+		return fmt.Sprintf(errStoreFailed, plus(err))
+	}
+	return textOK
+}
+
+// shutdown ends the process in order, where the file allows it. Both kinds drain: a job that was taken
+// is owed its answer.
+func (c *client) shutdown(f []string) string {
+	if !c.file.Shutdown || c.o.Shutdown == nil {
+		return errForbidden
+	}
+	if len(f) > 1 && f[1] != "graceful" {
+		return fmt.Sprintf(errArgs, "shutdown")
+	}
+	time.AfterFunc(10*time.Millisecond, c.o.Shutdown) // the answer goes first
+	return textOK
+}
+
 func (s *Server) functionNames() []string {
 	var names []string
 	for name := range s.file.Functions {
@@ -139,7 +150,7 @@
 
 // functionStatus tells of each function its jobs, how many of them run, and its workers.
 func (s *Server) functionStatus() string {
-	workers := len(s.o.Regions())
+	workers := len(s.o.Workers())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := &strings.Builder{}
@@ -150,15 +161,15 @@
 	return b.String() + textEnd
 }
 
-// workers lists the regions: each serves every function.
+// workers lists the workers: each serves every function.
 func (s *Server) workers() string {
-	regions := s.o.Regions()
+	workers := s.o.Workers()
 	s.mu.Lock()
 	functions := strings.Join(s.functionNames(), " ")
 	s.mu.Unlock()
-	slices.SortFunc(regions, func(x, y dispatch.Region) int { return cmp.Compare(x.Name, y.Name) })
+	slices.SortFunc(workers, func(x, y dispatch.Worker) int { return cmp.Compare(x.Name, y.Name) })
 	b := &strings.Builder{}
-	for i, r := range regions {
+	for i, r := range workers {
 		if i >= listMost {
 			break
 		}
@@ -198,7 +209,7 @@
 	return b.String() + textEnd
 }
 
-// showDead lists the dead letters: handle, function, unique id, why, when, sends, and the region
+// showDead lists the dead letters: handle, function, unique id, why, when, sends, and the worker
 // that may have run it.
 func (s *Server) showDead() string {
 	if s.keeper == nil {
@@ -206,12 +217,12 @@
 	}
 	b := &strings.Builder{}
 	err := s.keeper.Store().List(true, listMost, func(o *jobstore.Stored) {
-		at, region := time.Unix(0, int64(o.State.Since)).UTC().Format(time.RFC3339), "-"
+		at, worker := time.Unix(0, int64(o.State.Since)).UTC().Format(time.RFC3339), "-"
 		if o.State.First != nil {
-			region = o.State.First.Region
+			worker = o.State.First.Region
 		}
 		fmt.Fprintf(b, "%s\t%s\t%s\t%s\t%s\t%d\t%s\r\n", o.Job.Handle, o.Job.Function, oneLine(o.Job.Unique), o.State.Dead, at,
-			o.State.Sends, region)
+			o.State.Sends, worker)
 	})
 	if err != nil {
 		return fmt.Sprintf(errStoreFailed, plus(err))
--- a/internal/gearman/regions.go
+++ b/internal/gearman/workers.go
@@ -12,91 +12,91 @@
 	"tinroute.example/tinroute/internal/link"
 )
 
-// Regions carries routed tasks to Gearman job servers, whose client it is. It implements
-// dispatch.Regions. A connection carries one job at a time, and is closed to give a job up.
-type Regions struct {
-	core    *dispatch.Core
-	log     *slog.Logger
-	pool    *link.Pool[Packet]
-	serving dispatch.ServingSet
-	mu      sync.Mutex
-	tasks   map[*dispatch.Task]context.CancelFunc
-	list    []dispatch.Region
+// Workers carries attempts to Gearman job servers, whose client it is. It implements
+// dispatch.Workers. A connection carries one job at a time, and is closed to give a job up.
+type Workers struct {
+	core     *dispatch.Core
+	log      *slog.Logger
+	pool     *link.Pool[Packet]
+	serving  dispatch.ServingSet
+	mu       sync.Mutex
+	attempts map[*dispatch.Attempt]context.CancelFunc
+	list     []dispatch.Worker
 }
 
-// NewRegions returns a driver that holds at most so many connections.
-func NewRegions(core *dispatch.Core, log *slog.Logger, dial link.Dial, most int) *Regions {
+// NewWorkers returns a driver that holds at most so many connections.
+func NewWorkers(core *dispatch.Core, log *slog.Logger, dial link.Dial, most int) *Workers {
 	s := core.Settings()
-	return &Regions{core: core, log: log, tasks: map[*dispatch.Task]context.CancelFunc{},
+	return &Workers{core: core, log: log, attempts: map[*dispatch.Attempt]context.CancelFunc{},
 		pool: link.NewPool(dial, NewResponseFramer, s.ConnectTimeout, s.ConnIdle, most)}
 }
 
 // Run keeps the pool tidy until the context ends.
-func (r *Regions) Run(ctx context.Context) { r.pool.Sweep(ctx) }
+func (r *Workers) Run(ctx context.Context) { r.pool.Sweep(ctx) }
 
-// Listed closes idle connections to regions that are gone.
-func (r *Regions) Listed(list []dispatch.Region) {
+// UpdateMembers closes idle connections to workers that are gone.
+func (r *Workers) UpdateMembers(list []dispatch.Worker) {
 	r.serving.Set(list)
 	r.mu.Lock()
 	r.list = list
 	r.mu.Unlock()
 	listed := map[string]bool{}
-	for _, region := range list {
-		listed[region.Addr] = true
+	for _, worker := range list {
+		listed[worker.Addr] = true
 	}
 	r.pool.Forget(listed)
 }
 
-// Serving returns the regions that take new tasks.
-func (r *Regions) Serving() (serving []dispatch.Region) {
+// Serving returns the workers that take new attempts.
+func (r *Workers) Serving() (serving []dispatch.Worker) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, region := range r.list {
-		if region.Condition == balance.Serving {
-			serving = append(serving, region)
+	for _, worker := range r.list {
+		if worker.Condition == balance.Serving {
+			serving = append(serving, worker)
 		}
 	}
 	return serving
 }
 
-// Start carries a routed task to its region.
-func (r *Regions) Start(t *dispatch.Task) {
+// Start carries an attempt to its worker.
+func (r *Workers) Start(t *dispatch.Attempt) {
 	ctx, stop := context.WithCancel(context.Background())
 	r.mu.Lock()
-	r.tasks[t] = stop
+	r.attempts[t] = stop
 	r.mu.Unlock()
 	go func() {
 		defer stop()
 		status, result := r.carry(ctx, t)
 		r.mu.Lock()
-		delete(r.tasks, t)
+		delete(r.attempts, t)
 		r.mu.Unlock()
-		t.Transaction.Payload.(*job).ended(status)
+		t.Request.Payload.(*job).ended(status)
 		r.core.Ended(t, status, result)
 	}()
 }
 
-// Cancel gives a routed task up by closing its connection.
-func (r *Regions) Cancel(t *dispatch.Task) {
+// Cancel gives an attempt up by closing its connection.
+func (r *Workers) Cancel(t *dispatch.Attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if stop := r.tasks[t]; stop != nil {
+	if stop := r.attempts[t]; stop != nil {
 		stop()
 	}
 }
 
-// carry takes one routed task through its exchange. Nothing ran if no connection came up,
+// carry takes one attempt through its exchange. Nothing ran if no connection came up,
 // or if it broke before the packet's last byte was written, or if the server answered with
 // an ERROR in place of JOB_CREATED; after anything else it may have. Nothing is sent again
 // here: a repeat is the balancer's to decide.
-func (r *Regions) carry(ctx context.Context, t *dispatch.Task) (balance.Status, []byte) {
-	j := t.Transaction.Payload.(*job)
-	conn, err := r.pool.Get(ctx, t.Region.Addr)
+func (r *Workers) carry(ctx context.Context, t *dispatch.Attempt) (balance.Status, []byte) {
+	j := t.Request.Payload.(*job)
+	conn, err := r.pool.Get(ctx, t.Worker.Addr)
 	if err != nil {
 		if ctx.Err() != nil { // given up before anything was sent
 			return balance.StatusMoot, nil
 		}
-		r.say(t, "region unreachable", err)
+		r.say(t, "worker unreachable", err)
 		return balance.StatusUnreachable, nil
 	}
 	keep := false
@@ -107,7 +107,7 @@
 			_ = conn.Close()
 		}
 	}()
-	if ctx.Err() != nil || !r.serving.Accepts(t.Region.ID) { // given up, or drained since it was chosen
+	if ctx.Err() != nil || !r.serving.Accepts(t.Worker.ID) { // given up, or drained since it was chosen
 		keep = true
 		return balance.StatusMoot, nil
 	}
@@ -125,37 +125,47 @@
 		return balance.StatusUnreachable, nil
 	}
 	t.Mark(dispatch.Written)
+	var status balance.Status
+	var result []byte
+	status, result, keep = r.receive(ctx, t, conn)
+	return status, result
+}
+
+// receive takes a job server's packets up to the job's end. keep tells whether the connection may be
+// used again.
+func (r *Workers) receive(ctx context.Context, t *dispatch.Attempt, conn *link.Conn[Packet]) (status balance.Status, result []byte, keep bool) {
 	x := exchange{started: func() { r.core.Started(t) }, progress: func(s float64) { r.core.Progress(t, s) }}
 	for {
 		p, err := conn.Receive(ctx)
 		if err != nil {
 			if ctx.Err() != nil {
-				return balance.StatusCancelled, nil
+				return balance.StatusCancelled, nil, false
 			}
-			r.say(t, "region reset", err)
-			return balance.StatusReset, nil
+			r.say(t, "worker reset", err)
+			return balance.StatusReset, nil, false
 		}
 		status, over, err := x.take(p)
 		if x.handle != "" {
 			t.Mark(dispatch.Accepted)
 		}
 		if err != nil {
-			r.log.Warn("region answered", "region", t.Region.Name, "id", t.Transaction.ID, "err", err)
+			r.log.Warn("worker answered", "worker", t.Worker.Name, "id", t.Request.ID, "err", err)
 		}
-		if over {
-			if x.exception != nil {
-				j.mu.Lock()
-				j.exception = x.exception
-				j.mu.Unlock()
-			}
-			keep = err == nil && x.exception == nil // a WORK_FAIL may follow, which answers nothing then
-			return status, x.result
+		if !over {
+			continue
+		}
+		if x.exception != nil {
+			j := t.Request.Payload.(*job)
+			j.mu.Lock()
+			j.exception = x.exception
+			j.mu.Unlock()
 		}
+		return status, x.result, err == nil && x.exception == nil // a WORK_FAIL may follow, which answers nothing then
 	}
 }
 
-func (r *Regions) say(t *dispatch.Task, what string, err error) {
-	r.log.Info(what, "region", t.Region.Name, "id", t.Transaction.ID, "err", err)
+func (r *Workers) say(t *dispatch.Attempt, what string, err error) {
+	r.log.Info(what, "worker", t.Worker.Name, "id", t.Request.ID, "err", err)
 }
 
 // exchange is the client's state machine for one job: it is fed packets and knows no
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"tinroute.example/tinroute/internal/hand"
+	"tinroute.example/tinroute/internal/override"
 )
 
 const (
@@ -30,7 +30,7 @@
 // Options name the folder, the book and the log. Dir is os.TempDir() where empty.
 type Options struct {
 	Dir   string
-	Book  *hand.Book
+	Book  *override.Set
 	Log   *slog.Logger
 	Every time.Duration // Every where 0
 	Now   func() time.Time
@@ -122,7 +122,7 @@
 		k.complain("cannot read the file of hand bans", err)
 		return
 	}
-	s, err := hand.Decode(data)
+	s, err := override.Decode(data)
 	if err != nil {
 		k.complain("file of hand bans ignored", err)
 		return
@@ -140,7 +140,7 @@
 	if s.Gen <= k.written {
 		return
 	}
-	data := hand.Encode(s)
+	data := override.Encode(s)
 	tmp := fmt.Sprintf("%s.%d.tmp", k.path, os.Getpid())
 	err := os.WriteFile(tmp, data, 0o600)
 	if err == nil {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -12,13 +12,13 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tinroute.example/tinroute/internal/hand"
+	"tinroute.example/tinroute/internal/override"
 )
 
 const within = 2 * time.Second // far more than a look takes: only a missing handover fails
 
-func keeper(t *testing.T, dir string, log *slog.Logger) *hand.Book {
-	b := hand.New()
+func keeper(t *testing.T, dir string, log *slog.Logger) *override.Set {
+	b := override.New()
 	k := New(Options{Dir: dir, Book: b, Log: log, Every: 5 * time.Millisecond})
 	k.Start()
 	t.Cleanup(k.Close)
@@ -30,7 +30,7 @@
 func TestBansPassBetweenProcesses(t *testing.T) {
 	dir := t.TempDir()
 	old := keeper(t, dir, nil)
-	old.Listed(time.Now(), "s-1", "s-2")
+	old.UpdateMembers(time.Now(), "s-1", "s-2")
 	_, err := old.Detach(time.Now(), "s-1")
 	require.NoError(t, err)
 
@@ -43,7 +43,7 @@
 	_, err = fresh.Attach("s-1")
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return !old.Out("s-1") }, within, time.Millisecond, "the old process keeps a ban lifted at the new one")
-	fresh.Listed(time.Now(), "s-2")
+	fresh.UpdateMembers(time.Now(), "s-2")
 	_, err = fresh.Detach(time.Now(), "s-2")
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return old.Out("s-2") }, within, time.Millisecond)
@@ -53,7 +53,7 @@
 func TestWrittenAtomically(t *testing.T) {
 	dir := t.TempDir()
 	b := keeper(t, dir, nil)
-	b.Listed(time.Now(), "s-1", "s-2")
+	b.UpdateMembers(time.Now(), "s-1", "s-2")
 	var wg sync.WaitGroup
 	stop := make(chan struct{})
 	wg.Go(func() {
@@ -64,7 +64,7 @@
 			default:
 			}
 			if data, err := os.ReadFile(filepath.Join(dir, File)); err == nil {
-				_, err := hand.Decode(data)
+				_, err := override.Decode(data)
 				require.NoError(t, err, "a reader found a torn file")
 			}
 		}
@@ -81,7 +81,7 @@
 // A torn or foreign file is ignored with one line in the log, however often it is looked at.
 func TestTornFileIgnored(t *testing.T) {
 	dir := t.TempDir()
-	whole := hand.Encode(hand.State{Gen: 9, Out: []string{"s-1"}})
+	whole := override.Encode(override.State{Gen: 9, Out: []string{"s-1"}})
 	require.NoError(t, os.WriteFile(filepath.Join(dir, File), whole[:len(whole)-3], 0o600))
 	log := &lockedBuffer{}
 	b := keeper(t, dir, slog.New(slog.NewTextHandler(log, nil)))
--- a/internal/handover/relay.go
+++ b/internal/handover/relay.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-// During an upgrade two processes listen at the clients' address, and a region's call-back
+// During an upgrade two processes listen at the clients' address, and a worker's call-back
 // reaches either, whichever process sent the request. One that does not know the request puts
 // the call-back in the other's inbox, a folder in the shared $TMPDIR, and the other takes it up
 // from there. A process marks that it is alive by a file that it touches every beat.
--- a/internal/hook/hook.go
+++ b/internal/hook/hook.go
@@ -6,12 +6,12 @@
 //	def on_transaction(tx):   # refuse it, or set its tenant or cost; None leaves it alone
 //	    return {"refuse": "closed on Sundays", "retry_after_s": 60}
 //	    return {"tenant": "argane-epargne", "cost_s": 0.4}
-//	def on_outcome(task):     # watch how a routed task ended
+//	def on_outcome(task):     # watch how an attempt ended
 //	    print(task.region, task.status)
 //
 // Several files are asked in order, and the first refusal counts. A script that fails is
 // logged and counted, and the request goes on as if it had said nothing. Scripts never
-// choose a region: that is the balancer's.
+// choose a worker: that is the balancer's.
 package hook
 
 import (
@@ -125,8 +125,8 @@
 // Failed is how many calls have failed.
 func (h *Hooks) Failed() int64 { return h.failed.Load() }
 
-// Transaction asks on_transaction of each script.
-func (h *Hooks) Transaction(tx *dispatch.Transaction) *dispatch.Answer {
+// Request asks on_transaction of each script.
+func (h *Hooks) Request(tx *dispatch.Request) *dispatch.Answer {
 	for _, s := range h.scripts {
 		if s.transaction == nil {
 			continue
@@ -146,7 +146,7 @@
 	return nil
 }
 
-func (h *Hooks) describe(tx *dispatch.Transaction) starlark.Value {
+func (h *Hooks) describe(tx *dispatch.Request) starlark.Value {
 	tenant := starlark.Value(starlark.None)
 	if tx.Tenant >= 0 {
 		tenant = starlark.String(h.settings.Tenants[tx.Tenant].Name)
@@ -158,7 +158,7 @@
 }
 
 // obey does what a script returned, all of it or, if any of it makes no sense, nothing.
-func (h *Hooks) obey(tx *dispatch.Transaction, said starlark.Value) (*dispatch.Answer, error) {
+func (h *Hooks) obey(tx *dispatch.Request, said starlark.Value) (*dispatch.Answer, error) {
 	d, ok := said.(*starlark.Dict)
 	if !ok {
 		return nil, fmt.Errorf("returned %s, not a dict or None", said.Type())
@@ -195,11 +195,11 @@
 	return refused, nil
 }
 
-// Ended hands the end of a routed task to on_outcome, on a goroutine of its own.
-func (h *Hooks) Ended(t *dispatch.Task, s balance.Status, elapsed time.Duration) {
+// Ended hands the end of an attempt to on_outcome, on a goroutine of its own.
+func (h *Hooks) Ended(t *dispatch.Attempt, s balance.Status, elapsed time.Duration) {
 	task := starlarkstruct.FromStringDict(starlark.String("task"), starlark.StringDict{
-		"id": starlark.String(t.Transaction.ID), "class_name": starlark.String(h.settings.Classes[t.Transaction.Class].Name),
-		"region": starlark.String(t.Region.Name), "number": starlark.MakeInt(t.No),
+		"id": starlark.String(t.Request.ID), "class_name": starlark.String(h.settings.Classes[t.Request.Class].Name),
+		"region": starlark.String(t.Worker.Name), "number": starlark.MakeInt(t.No),
 		"status": starlark.String(s.String()), "elapsed_s": starlark.Float(elapsed.Seconds())})
 	select {
 	case h.outcomes <- task:
@@ -226,9 +226,17 @@
 	}
 }
 
-// The scripts are not told of the rest.
-func (h *Hooks) Began(*dispatch.Transaction)                     {}
-func (h *Hooks) Sent(*dispatch.Task)                             {}
-func (h *Hooks) Withdrawn(*dispatch.Task)                        {}
-func (h *Hooks) Answered(*dispatch.Transaction, dispatch.Answer) {}
-func (h *Hooks) Left(*dispatch.Transaction)                      {}
+// Began does nothing: scripts are told of outcomes alone.
+func (h *Hooks) Began(*dispatch.Request) {}
+
+// Sent does nothing.
+func (h *Hooks) Sent(*dispatch.Attempt) {}
+
+// Withdrawn does nothing.
+func (h *Hooks) Withdrawn(*dispatch.Attempt) {}
+
+// Answered does nothing.
+func (h *Hooks) Answered(*dispatch.Request, dispatch.Answer) {}
+
+// Left does nothing.
+func (h *Hooks) Left(*dispatch.Request) {}
--- a/internal/hook/hook_test.go
+++ b/internal/hook/hook_test.go
@@ -40,19 +40,19 @@
 
 func TestExample(t *testing.T) {
 	h, log := load(t, "../../example/hooks.star")
-	tx := &dispatch.Transaction{ID: "1", Class: 0, Tenant: 1}
+	tx := &dispatch.Request{ID: "1", Class: 0, Tenant: 1}
 	require.Equal(t, &dispatch.Answer{Verdict: dispatch.Refused, Reason: "pricing of souss-actions is closed",
-		RetryAfter: 1500 * time.Millisecond}, h.Transaction(tx))
-	tx = &dispatch.Transaction{ID: "2", Class: 1, Tenant: -1}
-	require.Nil(t, h.Transaction(tx))
+		RetryAfter: 1500 * time.Millisecond}, h.Request(tx))
+	tx = &dispatch.Request{ID: "2", Class: 1, Tenant: -1}
+	require.Nil(t, h.Request(tx))
 	require.Equal(t, 0, tx.Tenant)
-	tx = &dispatch.Transaction{ID: "3", Class: 0, Tenant: 0}
-	require.Nil(t, h.Transaction(tx))
+	tx = &dispatch.Request{ID: "3", Class: 0, Tenant: 0}
+	require.Nil(t, h.Request(tx))
 	require.Equal(t, 400*time.Millisecond, tx.Hint)
 	synctest.Test(t, func(t *testing.T) {
 		h.outcomes = make(chan starlark.Value, 1)
 		go h.Run(t.Context())
-		h.Ended(&dispatch.Task{Transaction: tx, Region: dispatch.Region{Name: "s-1"}}, balance.StatusReset, time.Second)
+		h.Ended(&dispatch.Attempt{Request: tx, Worker: dispatch.Worker{Name: "s-1"}}, balance.StatusReset, time.Second)
 		synctest.Wait()
 	})
 	require.Contains(t, log.String(), "region s-1 lost 3 after 1.0 s")
@@ -66,16 +66,16 @@
 		`fail("no")`:                    "no",
 		`[x for x in range(100000000)]`: "too many steps",
 		`return 7`:                      "returned int",
-		`return {"region": "s-1"}`:      "makes no sense",
+		`return {"worker": "s-1"}`:      "makes no sense",
 		`return {"tenant": "nobody"}`:   "unknown",
 		`return {"tenant": "souss-actions", "cost_s": -1}`: "makes no sense",
 		`return {"cost_s": float("nan")}`:                  "makes no sense",
 		`return {"retry_after_s": 3}`:                      "without refuse",
 	} {
 		h, log := load(t, file(t, "def on_transaction(tx):\n    "+text+"\n"))
-		tx := dispatch.Transaction{ID: "1", Tenant: -1, Hint: time.Second}
+		tx := dispatch.Request{ID: "1", Tenant: -1, Hint: time.Second}
 		asked := tx
-		require.Nil(t, h.Transaction(&asked), text)
+		require.Nil(t, h.Request(&asked), text)
 		require.Equal(t, tx, asked, text)
 		require.EqualValues(t, 1, h.Failed(), text)
 		require.Contains(t, log.String(), why, text)
@@ -105,7 +105,7 @@
 func TestSlowOutcomesAreDropped(t *testing.T) {
 	h, log := load(t, file(t, "def on_outcome(task): pass"))
 	for range backlog + 5 {
-		h.Ended(&dispatch.Task{Transaction: &dispatch.Transaction{}}, balance.StatusOK, 0)
+		h.Ended(&dispatch.Attempt{Request: &dispatch.Request{}}, balance.StatusOK, 0)
 	}
 	require.EqualValues(t, 5, h.dropped.Load())
 	require.Equal(t, 1, strings.Count(log.String(), "hook too slow"))
--- a/internal/jobbook/book.go
+++ b/internal/jobindex/index.go
@@ -1,7 +1,7 @@
-// Package jobbook keeps the open jobs of a job server and who waits for each: it decides which
+// Package jobindex keeps the open jobs of a job server and who waits for each: it decides which
 // submissions are one job, when a job is given up, and what is too much. It does no I/O, knows
 // no clock, and is not safe for concurrent use.
-package jobbook
+package jobindex
 
 import (
 	"errors"
@@ -42,8 +42,8 @@
 
 type key struct{ function, unique string }
 
-// Book holds open jobs. W is a client's connection.
-type Book[W comparable] struct {
+// Index holds open jobs. W is a client's connection.
+type Index[W comparable] struct {
 	limits    Limits
 	byHandle  map[string]*Job[W]
 	byKey     map[key]*Job[W]
@@ -57,23 +57,23 @@
 type count struct{ open, running, background int }
 
 // New returns an empty book.
-func New[W comparable](l Limits) *Book[W] {
+func New[W comparable](l Limits) *Index[W] {
 	if l.PerFunction == nil {
 		l.PerFunction = map[string]int{}
 	}
-	return &Book[W]{limits: l, byHandle: map[string]*Job[W]{}, byKey: map[key]*Job[W]{}, byUnique: map[string][]*Job[W]{},
+	return &Index[W]{limits: l, byHandle: map[string]*Job[W]{}, byKey: map[key]*Job[W]{}, byUnique: map[string][]*Job[W]{},
 		clients: map[W]map[*Job[W]]int{}, submitted: map[W]int{}, functions: map[string]*count{}}
 }
 
 // SetMaxQueue bounds a function's open jobs from now on; 0 is no bound. Jobs that are open
 // beyond it stay.
-func (b *Book[W]) SetMaxQueue(function string, n int) { b.limits.PerFunction[function] = n }
+func (b *Index[W]) SetMaxQueue(function string, n int) { b.limits.PerFunction[function] = n }
 
 // Handle returns the open job of a handle, or nil.
-func (b *Book[W]) Handle(handle string) *Job[W] { return b.byHandle[handle] }
+func (b *Index[W]) Handle(handle string) *Job[W] { return b.byHandle[handle] }
 
 // Find returns the open job that a submission of the function and unique id is part of, or nil.
-func (b *Book[W]) Find(function, unique string) *Job[W] {
+func (b *Index[W]) Find(function, unique string) *Job[W] {
 	if unique == "" {
 		return nil
 	}
@@ -81,7 +81,7 @@
 }
 
 // Unique returns the first open job of a unique id, of whichever function, or nil.
-func (b *Book[W]) Unique(unique string) *Job[W] {
+func (b *Index[W]) Unique(unique string) *Job[W] {
 	if jobs := b.byUnique[unique]; unique != "" && len(jobs) > 0 {
 		return jobs[0]
 	}
@@ -89,7 +89,7 @@
 }
 
 // MayWait tells whether a client may have one more submission without a final answer.
-func (b *Book[W]) MayWait(w W) error {
+func (b *Index[W]) MayWait(w W) error {
 	if b.limits.PerClient > 0 && b.submitted[w] >= b.limits.PerClient {
 		return ErrClient
 	}
@@ -98,7 +98,7 @@
 
 // MayOpen tells whether one more job of the size may be opened. stored is how many more jobs
 // of the function are kept elsewhere and count too; background jobs that are open are among them.
-func (b *Book[W]) MayOpen(function string, size, stored int) error {
+func (b *Index[W]) MayOpen(function string, size, stored int) error {
 	open := 0
 	if c := b.functions[function]; c != nil {
 		open = c.open - c.background
@@ -116,7 +116,7 @@
 
 // Open adds a job. The handle and, where it has one, the function with the unique id must not
 // be open.
-func (b *Book[W]) Open(handle, function, unique string, size int, background bool) *Job[W] {
+func (b *Index[W]) Open(handle, function, unique string, size int, background bool) *Job[W] {
 	j := &Job[W]{Handle: handle, Function: function, Unique: unique, Size: size, waiters: map[W]int{}}
 	b.byHandle[handle] = j
 	if unique != "" {
@@ -135,7 +135,7 @@
 }
 
 // SetBackground makes a job go on without any waiter, or not.
-func (b *Book[W]) SetBackground(j *Job[W], background bool) {
+func (b *Index[W]) SetBackground(j *Job[W], background bool) {
 	if c := b.functions[j.Function]; background && !j.Background {
 		c.background++
 	} else if !background && j.Background {
@@ -146,7 +146,7 @@
 
 // Detach returns a job's waiters, each with the number of its submissions, who wait no longer.
 // The job stays open.
-func (b *Book[W]) Detach(j *Job[W]) map[W]int {
+func (b *Index[W]) Detach(j *Job[W]) map[W]int {
 	for w, n := range j.waiters {
 		b.drop(j, w, n)
 	}
@@ -156,7 +156,7 @@
 }
 
 // Join makes a client wait for a job, once more for each of its submissions.
-func (b *Book[W]) Join(j *Job[W], w W) {
+func (b *Index[W]) Join(j *Job[W], w W) {
 	j.waiters[w]++
 	j.Waiting++
 	if b.clients[w] == nil {
@@ -167,11 +167,11 @@
 }
 
 // Waits is how many submissions of a client have no final answer.
-func (b *Book[W]) Waits(w W) int { return b.submitted[w] }
+func (b *Index[W]) Waits(w W) int { return b.submitted[w] }
 
 // Progress notes how far a job is, and tells whether that is news: copies of one job tell of
 // theirs too, and only an advance counts.
-func (b *Book[W]) Progress(j *Job[W], share float64) bool {
+func (b *Index[W]) Progress(j *Job[W], share float64) bool {
 	if j.closed {
 		return false
 	}
@@ -185,7 +185,7 @@
 }
 
 // Rest notes that a job is not running any more and waits to be tried again.
-func (b *Book[W]) Rest(j *Job[W]) {
+func (b *Index[W]) Rest(j *Job[W]) {
 	if !j.closed && j.Running {
 		b.functions[j.Function].running--
 	}
@@ -203,7 +203,7 @@
 
 // Close ends a job and returns its waiters, each with the number of its submissions. A second
 // call returns none: a job has one end.
-func (b *Book[W]) Close(j *Job[W]) map[W]int {
+func (b *Index[W]) Close(j *Job[W]) map[W]int {
 	if j.closed {
 		return nil
 	}
@@ -228,7 +228,7 @@
 	return b.Detach(j)
 }
 
-func (b *Book[W]) drop(j *Job[W], w W, n int) {
+func (b *Index[W]) drop(j *Job[W], w W, n int) {
 	delete(b.clients[w], j)
 	if b.submitted[w] -= n; b.submitted[w] <= 0 {
 		delete(b.submitted, w)
@@ -238,7 +238,7 @@
 
 // Leave forgets a client and closes the jobs that no one is left to wait for, which it returns:
 // they are given up. Background jobs go on; those that no one waits for any more it returns apart.
-func (b *Book[W]) Leave(w W) (givenUp, unwatched []*Job[W]) {
+func (b *Index[W]) Leave(w W) (givenUp, unwatched []*Job[W]) {
 	for j, n := range b.clients[w] {
 		delete(j.waiters, w)
 		j.Waiting -= n
@@ -257,7 +257,7 @@
 }
 
 // Counts is how many jobs of a function are open, and how many of these run.
-func (b *Book[W]) Counts(function string) (open, running int) {
+func (b *Index[W]) Counts(function string) (open, running int) {
 	if c := b.functions[function]; c != nil {
 		return c.open, c.running
 	}
@@ -265,7 +265,7 @@
 }
 
 // Background is how many open jobs of a function go on without a waiter.
-func (b *Book[W]) Background(function string) int {
+func (b *Index[W]) Background(function string) int {
 	if c := b.functions[function]; c != nil {
 		return c.background
 	}
@@ -274,7 +274,7 @@
 
 // Jobs returns up to so many open jobs, all where most is negative, in the order of their handles' lengths and texts, which
 // is that of their numbers.
-func (b *Book[W]) Jobs(most int) []*Job[W] {
+func (b *Index[W]) Jobs(most int) []*Job[W] {
 	all := make([]*Job[W], 0, len(b.byHandle))
 	for _, j := range b.byHandle {
 		all = append(all, j)
--- a/internal/jobbook/book_test.go
+++ b/internal/jobindex/index_test.go
@@ -1,4 +1,4 @@
-package jobbook
+package jobindex
 
 import (
 	"fmt"
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -19,6 +19,7 @@
 	"time"
 
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 )
 
 // Errors that a store gives. Any other is the disk's.
@@ -60,31 +61,6 @@
 	Commit func() error
 }
 
-const (
-	maxBatch      = 1024    // writes in one transaction ...
-	maxBatchBytes = 4 << 20 // ... and their data
-	queue         = 1024    // writes that wait; further writers wait with them
-	lockWait      = time.Second
-	// A transaction waits for more writes for half of the time that the last ones took, mostWait at
-	// most, or until as many have come as lately at the most; every probeMost-th waits on all the same,
-	// or the number could not grow. None waits where the last mostVain waits brought no more, but for
-	// every probeVain-th.
-	mostWait  = 2 * time.Millisecond
-	mostVain  = 4
-	probeVain = 32
-	probeMost = 8
-	// retryAfter is how long a store that failed turns jobs away before the next one is tried.
-	retryAfter = time.Second
-	// compactAt is the least size of a file that is worth making small again, once more than
-	// compactShare of it is free.
-	compactAt    = 16 << 20
-	compactShare = 0.5
-	// compactOps bounds the writes that are kept for the new file while it is made, and
-	// compactBytes their data; a compaction that meets more is given up and tried later.
-	compactOps   = 100_000
-	compactBytes = 64 << 20
-)
-
 // Store is an open store. It is safe for concurrent use.
 type Store struct {
 	o      Options
@@ -121,16 +97,6 @@
 	written    int
 }
 
-// write is one change. apply checks before it writes: what it returns as a refusal must have
-// changed nothing. It may run twice, on the old file and on its compacted copy, so it must
-// depend on nothing but the file and what it was made with.
-type write struct {
-	apply func(tx *bolt.Tx) error
-	size  int
-	done  func(error)
-	err   error
-}
-
 // refusal marks an error of one write that leaves the others of its transaction alone.
 type refusal struct{ error }
 
@@ -173,7 +139,7 @@
 		return err
 	}
 	db, err := bolt.Open(s.o.Path, 0o600, s.options())
-	if errors.Is(err, bolt.ErrInvalid) || errors.Is(err, bolt.ErrChecksum) || errors.Is(err, bolt.ErrVersionMismatch) {
+	if errors.Is(err, bolterrors.ErrInvalid) || errors.Is(err, bolterrors.ErrChecksum) || errors.Is(err, bolterrors.ErrVersionMismatch) {
 		return fmt.Errorf("%w: %w", errDamaged, err)
 	}
 	if err != nil {
@@ -234,7 +200,7 @@
 	o := s.options()
 	o.ReadOnly, o.MaxSize = true, 0
 	db, err := bolt.Open(s.o.Path, 0o600, o)
-	if errors.Is(err, bolt.ErrInvalid) || errors.Is(err, bolt.ErrChecksum) || errors.Is(err, bolt.ErrVersionMismatch) {
+	if errors.Is(err, bolterrors.ErrInvalid) || errors.Is(err, bolterrors.ErrChecksum) || errors.Is(err, bolterrors.ErrVersionMismatch) {
 		return fmt.Errorf("%w: %w", errDamaged, err)
 	}
 	if err != nil {
@@ -297,166 +263,6 @@
 
 var kLast = []byte("last") // the highest number given, so that none is given twice
 
-// run is the one writer.
-func (s *Store) run() {
-	defer close(s.ended)
-	for {
-		var batch []*write
-		select {
-		case w := <-s.writes:
-			batch = s.gather(w)
-		case <-s.compactions():
-			s.swap()
-			continue
-		case <-s.stop:
-			for {
-				select {
-				case w := <-s.writes:
-					s.commit(s.gather(w))
-				default:
-					return
-				}
-			}
-		}
-		s.commit(batch)
-		s.perhapsCompact()
-	}
-}
-
-// gather takes what waits, and waits a little for more where that has lately paid.
-//
-// On one processor the writers cannot run while the disk is synced: when it is done none waits yet,
-// and the first that comes wakes this goroutine before the others have come. Without the wait each
-// would get a transaction of its own, however many there are.
-func (s *Store) gather(first *write) []*write {
-	batch, size := []*write{first}, first.size
-	take := func(limit <-chan time.Time) (more bool) {
-		select {
-		case w := <-s.writes:
-			batch, size = append(batch, w), size+w.size
-			return true
-		default:
-		}
-		if limit == nil {
-			return false
-		}
-		select {
-		case w := <-s.writes:
-			batch, size = append(batch, w), size+w.size
-			return true
-		case <-limit:
-			return false
-		case <-s.stop:
-			return false
-		}
-	}
-	var limit <-chan time.Time
-	if s.vain++; !s.o.Single && (s.vain <= mostVain || s.vain%probeVain == 0) && s.took > 0 {
-		t := time.NewTimer(min(s.took/2, mostWait))
-		defer t.Stop()
-		limit = t.C
-	}
-	for !s.o.Single && len(batch) < maxBatch && size < maxBatchBytes && take(limit) {
-		if len(batch) >= s.most && s.turns%probeMost != 0 { // as many as have lately come at once: who else would
-			limit = nil
-		}
-	}
-	s.turns++
-	if s.most = max(len(batch), s.most-(s.most+15)/16); len(batch) > 1 {
-		s.vain = 0
-	}
-	return batch
-}
-
-// commit carries out the writes and tells each of its end.
-func (s *Store) commit(batch []*write) {
-	begun := time.Now()
-	err := s.transact(s.db, batch)
-	s.took = (3*s.took + time.Since(begun)) / 4
-	s.mu.Lock()
-	s.commits++
-	s.written += len(batch)
-	news := (err != nil) != (s.why != nil)
-	if err != nil {
-		s.failed, s.why = time.Now(), err
-		if errors.Is(err, errDamaged) && s.broken == nil {
-			s.broken, news = err, true
-		}
-	} else {
-		s.failed, s.why = time.Time{}, nil
-	}
-	broken := s.broken != nil
-	s.mu.Unlock()
-	switch {
-	case broken && news:
-		s.log.Error("job store damaged", "file", s.o.Path, "err", err)
-		s.markDamaged()
-	case err != nil && news:
-		s.log.Error("job store fails", "file", s.o.Path, "err", err)
-	case err == nil && news:
-		s.log.Info("job store well again", "file", s.o.Path)
-	}
-	if c := s.compacting; err == nil && c != nil {
-		c.keep(batch)
-	}
-	for _, w := range batch {
-		if w.err == nil {
-			w.err = err
-		}
-		if w.done != nil {
-			w.done(w.err)
-		}
-	}
-}
-
-func (s *Store) transact(db *bolt.DB, batch []*write) (err error) {
-	defer s.unfault(&err)()
-	s.mu.Lock()
-	if s.broken != nil {
-		s.mu.Unlock()
-		return s.broken
-	}
-	s.mu.Unlock()
-	return db.Update(func(tx *bolt.Tx) error {
-		changed := false
-		for _, w := range batch {
-			w.err = w.apply(tx)
-			if r := (refusal{}); w.err != nil && !errors.As(w.err, &r) {
-				err := w.err
-				w.err = nil
-				return err
-			}
-			changed = changed || w.err == nil
-		}
-		if !changed {
-			return nil
-		}
-		meta := tx.Bucket(bMeta)
-		if err := errors.Join(meta.Put(kSeen, u64(uint64(s.o.Now()))), meta.Put(kLast, u64(s.next.Load()))); err != nil {
-			return err
-		}
-		if s.o.Commit != nil {
-			return s.o.Commit()
-		}
-		return nil
-	})
-}
-
-// send hands a write to the writer. done may be nil. It must not be called from a done: Close
-// waits for it, and it for the writer.
-func (s *Store) send(size int, apply func(*bolt.Tx) error, done func(error)) {
-	s.closing.RLock()
-	if !s.closed {
-		s.writes <- &write{apply: apply, size: size, done: done}
-		s.closing.RUnlock()
-		return
-	}
-	s.closing.RUnlock()
-	if done != nil {
-		done(ErrClosed)
-	}
-}
-
 // Close writes what waits and closes the file.
 func (s *Store) Close() error {
 	s.closing.Lock() // after the writers that wait; none comes after
@@ -472,239 +278,3 @@
 	}
 	return s.db.Close()
 }
-
-func u64(n uint64) []byte { return order.AppendUint64(nil, n) }
-
-// The due index keeps jobs with an instant of the client's apart from the others: the one is
-// compared with the system's clock as it reads now, the other with the process's.
-const (
-	queueOwn   = 0
-	queueTimed = 1
-)
-
-func dueKey(st *State) []byte {
-	k := make([]byte, 0, 17)
-	k = append(k, map[bool]byte{false: queueOwn, true: queueTimed}[st.Timed])
-	return order.AppendUint64(order.AppendUint64(k, uint64(max(0, st.Due))), st.ID)
-}
-
-func entry(j *Job) []byte {
-	w := &writer{}
-	w.uint(uint64(len(j.Data)))
-	w.b = append(w.b, j.Function...)
-	return w.b
-}
-
-func entryOf(v []byte) (size int64, function string) {
-	r := &reader{b: v}
-	size = int64(r.uint())
-	return size, string(r.b)
-}
-
-func uniqueKey(function, unique string) []byte { return []byte(function + "\x00" + unique) }
-
-// Admit tells at once whether one more job of so many bytes could be taken.
-func (s *Store) Admit(size int) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case s.broken != nil:
-		return fmt.Errorf("%w: %w", ErrUnavailable, s.broken)
-	case s.why != nil && time.Since(s.failed) < retryAfter:
-		return fmt.Errorf("%w: %w", ErrUnavailable, s.why)
-	case s.o.MaxJobs > 0 && s.jobs >= s.o.MaxJobs, s.o.MaxBytes > 0 && s.bytes+int64(size) > s.o.MaxBytes:
-		return ErrFull
-	}
-	return nil
-}
-
-// Number gives a job its number. No two jobs of a file ever have the same.
-func (s *Store) Number() uint64 { return s.next.Add(1) }
-
-// Put stores a job whose number came from Number. done is called once, from the writer's
-// goroutine: without an error the job is on disk.
-func (s *Store) Put(j *Job, st *State, done func(error)) {
-	if err := s.Admit(len(j.Data)); err != nil {
-		done(err)
-		return
-	}
-	s.count(j.Function, int64(len(j.Data)), 1, st.Dead != "")
-	st.ID, st.Rev = j.ID, 1
-	rec, srec, key, e, id, dead := encodeJob(j), encodeState(st), dueKey(st), entry(j), u64(j.ID), st.Dead != ""
-	s.send(len(rec), func(tx *bolt.Tx) error {
-		if len(j.Unique) > 0 {
-			if err := tx.Bucket(bUniques).Put(uniqueKey(j.Function, j.Unique), id); err != nil {
-				return err
-			}
-		}
-		index := tx.Bucket(bDue).Put
-		if dead {
-			index, key = tx.Bucket(bDead).Put, id
-		}
-		return errors.Join(tx.Bucket(bJobs).Put(id, rec), tx.Bucket(bStates).Put(id, srec), index(key, e),
-			tx.Bucket(bHandles).Put([]byte(j.Handle), id))
-	}, func(err error) {
-		if err != nil {
-			s.count(j.Function, int64(len(j.Data)), -1, dead)
-		}
-		done(err)
-	})
-}
-
-func (s *Store) count(function string, size int64, n int, dead bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.jobs += n
-	s.bytes += int64(n) * size
-	if dead {
-		s.dead += n
-	} else if s.functions[function] += n; s.functions[function] <= 0 {
-		delete(s.functions, function)
-	}
-}
-
-// Change rewrites a job's state: f is given the state as stored and changes it. It runs on the
-// writer's goroutine, and once more if the file is being compacted; it must be a function of
-// the state alone. A job whose Dead is set leaves the due jobs, and comes back when it is
-// cleared.
-func (s *Store) Change(id uint64, f func(*State), done func(error)) {
-	type move struct {
-		function string
-		size     int64
-		to       int
-	}
-	var moved move
-	s.send(0, func(tx *bolt.Tx) error {
-		key := u64(id)
-		states, due, dead := tx.Bucket(bStates), tx.Bucket(bDue), tx.Bucket(bDead)
-		st, _, err := decodeState(states.Get(key))
-		if err != nil {
-			return refusal{ErrUnknown}
-		}
-		old := dueKey(st)
-		e := bytes.Clone(due.Get(old))
-		wasDead := st.Dead != ""
-		if wasDead {
-			e = bytes.Clone(dead.Get(key))
-		}
-		f(st)
-		st.ID, st.Rev = id, st.Rev+1
-		if err := states.Put(key, encodeState(st)); err != nil {
-			return err
-		}
-		moved = move{}
-		moved.size, moved.function = entryOf(e)
-		switch isDead := st.Dead != ""; {
-		case isDead && !wasDead:
-			moved.to = -1
-			return errors.Join(due.Delete(old), dead.Put(key, e))
-		case !isDead && wasDead:
-			moved.to = 1
-			return errors.Join(dead.Delete(key), due.Put(dueKey(st), e))
-		case !isDead && !bytes.Equal(old, dueKey(st)):
-			return errors.Join(due.Delete(old), due.Put(dueKey(st), e))
-		}
-		return nil
-	}, func(err error) {
-		if err == nil && moved.to != 0 {
-			s.count(moved.function, moved.size, -1, moved.to > 0)
-			s.count(moved.function, moved.size, 1, moved.to < 0)
-		}
-		if done != nil {
-			done(err)
-		}
-	})
-}
-
-// Rewrite writes a job's state where the one that is stored cannot be read.
-func (s *Store) Rewrite(j *Job, st *State, done func(error)) {
-	st.ID, st.Rev = j.ID, st.Rev+1<<32 // above whatever revision was lost
-	key, srec, e, dead := u64(j.ID), encodeState(st), entry(j), st.Dead != ""
-	s.send(0, func(tx *bolt.Tx) error {
-		due := tx.Bucket(bDue)
-		c := due.Cursor()
-		k, _ := c.First()
-		for k != nil && !bytes.Equal(k[9:], key) { // its instant is not known either
-			k, _ = c.Next()
-		}
-		old := bytes.Clone(k)
-		if old == nil || !dead {
-			return refusal{ErrUnknown}
-		}
-		return errors.Join(due.Delete(old), tx.Bucket(bDead).Put(key, e), tx.Bucket(bStates).Put(key, srec))
-	}, func(err error) {
-		if err == nil {
-			s.count(j.Function, int64(len(j.Data)), -1, false)
-			s.count(j.Function, int64(len(j.Data)), 1, true)
-		}
-		done(err)
-	})
-}
-
-// Remove forgets a job that has ended.
-func (s *Store) Remove(id uint64, done func(error)) {
-	var size int64
-	var function string
-	var wasDead bool
-	s.send(0, func(tx *bolt.Tx) error {
-		key := u64(id)
-		st, _, serr := decodeState(tx.Bucket(bStates).Get(key))
-		j, _, jerr := decodeJob(tx.Bucket(bJobs).Get(key))
-		if serr != nil || jerr != nil {
-			return refusal{ErrUnknown}
-		}
-		size, function, wasDead = int64(len(j.Data)), j.Function, st.Dead != ""
-		return s.erase(tx, key, j, dueKey(st))
-	}, func(err error) {
-		if err == nil {
-			s.count(function, size, -1, wasDead)
-		}
-		if done != nil {
-			done(err)
-		}
-	})
-}
-
-func (s *Store) erase(tx *bolt.Tx, key []byte, j *Job, due []byte) error {
-	uniques := tx.Bucket(bUniques)
-	if u := uniqueKey(j.Function, j.Unique); j.Unique != "" && bytes.Equal(uniques.Get(u), key) {
-		if err := uniques.Delete(u); err != nil {
-			return err
-		}
-	}
-	return errors.Join(tx.Bucket(bJobs).Delete(key), tx.Bucket(bStates).Delete(key), tx.Bucket(bDue).Delete(due),
-		tx.Bucket(bDead).Delete(key), tx.Bucket(bHandles).Delete([]byte(j.Handle)))
-}
-
-// setAside moves a record that cannot be read out of the way and keeps what was read.
-func (s *Store) setAside(id uint64, key []byte, why error) {
-	var size int64
-	var function string
-	counted := false
-	s.send(0, func(tx *bolt.Tx) error {
-		idKey := u64(id)
-		raw := bytes.Clone(tx.Bucket(bJobs).Get(idKey))
-		if j, _, err := decodeJob(raw); err == nil && j.ID == id {
-			return refusal{errors.New("it can be read after all")}
-		}
-		e := tx.Bucket(bDue).Get(key)
-		if e == nil {
-			e = tx.Bucket(bDead).Get(idKey)
-		}
-		counted = e != nil
-		size, function = entryOf(e)
-		return errors.Join(tx.Bucket(bDamaged).Put(idKey, append([]byte{}, raw...)), tx.Bucket(bJobs).Delete(idKey),
-			tx.Bucket(bStates).Delete(idKey), tx.Bucket(bDue).Delete(key), tx.Bucket(bDead).Delete(idKey))
-	}, func(err error) {
-		if err != nil {
-			return
-		}
-		if counted {
-			s.count(function, size, -1, len(key) == 8)
-		}
-		s.mu.Lock()
-		s.damaged++
-		s.mu.Unlock()
-		s.log.Error("stored job damaged", "file", s.o.Path, "number", id, "err", why)
-	})
-}
--- a/internal/jobstore/store_test.go
+++ b/internal/jobstore/store_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/stretchr/testify/require"
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 )
 
 func openAt(t testing.TB, o Options) *Store {
@@ -199,7 +200,7 @@
 	require.FileExists(t, other)
 	held := openAt(t, Options{Path: filepath.Join(dir, "held")})
 	_, err = Open(Options{Path: filepath.Join(dir, "held")})
-	require.ErrorIs(t, err, bolt.ErrTimeout)
+	require.ErrorIs(t, err, bolterrors.ErrTimeout)
 	require.NoError(t, held.Close())
 	db, err := bolt.Open(filepath.Join(dir, "newer"), 0o600, nil)
 	require.NoError(t, err)
--- a/internal/lab/rig/rehearse.go
+++ b/internal/lab/rig/rehearse.go
@@ -52,6 +52,8 @@
 
 // Rehearse starts a fleet, loads every door with more than the whole together, draws faults until Length is
 // over, mends all, and judges the history. Only what the rig itself could not do is an error.
+//
+//revive:disable-next-line:function-length a scenario, step by step
 func Rehearse(ctx context.Context, p Plan) (Outcome, *History, error) {
 	r, err := New(p.Options)
 	if err != nil {
@@ -148,6 +150,8 @@
 }
 
 // draw begins one fault, which ends by itself.
+//
+//revive:disable-next-line:function-length a scenario, step by step
 func (y *play) draw(ctx context.Context, faults *sync.WaitGroup) {
 	d := y.disp[y.rng.IntN(len(y.disp))]
 	hold := time.Duration(y.rng.Int64N(int64(3 * y.Lease)))
--- a/internal/complain/complain.go
+++ b/internal/limitedlog/limitedlog.go
@@ -1,7 +1,7 @@
-// Package complain keeps a flood of bad input from flooding the log. The first complaint of a
+// Package limitedlog keeps a flood of bad input from flooding the log. The first complaint of a
 // peer and reason is a line of its own; what follows is counted, and the counts are told in one
 // line a minute at the most for each.
-package complain
+package limitedlog
 
 import (
 	"log/slog"
@@ -27,8 +27,8 @@
 	unheard int // since told
 }
 
-// Book counts complaints. Its zero value is not ready: use New. It is safe for concurrent use.
-type Book struct {
+// Logger counts complaints. Its zero value is not ready: use New. It is safe for concurrent use.
+type Logger struct {
 	log *slog.Logger
 	now func() time.Time
 
@@ -37,17 +37,17 @@
 }
 
 // New returns a book that writes to the log. now is the clock, time.Now where nil.
-func New(log *slog.Logger, now func() time.Time) *Book {
+func New(log *slog.Logger, now func() time.Time) *Logger {
 	if now == nil {
 		now = time.Now
 	}
-	return &Book{log: log, now: now, pairs: map[pair]*tally{}}
+	return &Logger{log: log, now: now, pairs: map[pair]*tally{}}
 }
 
-// Complain notes that a peer has given cause to. what is the log line's text and with what is
+// Report notes that a peer has given cause to. what is the log line's text and with what is
 // told in the line's further attributes. A peer is known by its host: ports change with every
 // connection of a client that tries again.
-func (b *Book) Complain(what string, from net.Addr, reason string, with ...any) {
+func (b *Logger) Report(what string, from net.Addr, reason string, with ...any) {
 	host := Host(from)
 	b.mu.Lock()
 	now := b.now()
@@ -80,7 +80,7 @@
 }
 
 // sweep tells of and forgets the pairs that have been quiet for long.
-func (b *Book) sweep(now time.Time) {
+func (b *Logger) sweep(now time.Time) {
 	for p, t := range b.pairs {
 		if now.Sub(t.told) >= again {
 			delete(b.pairs, p)
--- a/internal/complain/complain_test.go
+++ b/internal/limitedlog/limitedlog_test.go
@@ -1,4 +1,4 @@
-package complain
+package limitedlog
 
 import (
 	"bytes"
@@ -19,7 +19,7 @@
 	now := time.Unix(0, 0)
 	b := New(slog.New(slog.NewTextHandler(&out, nil)), func() time.Time { return now })
 	for i := range 200_000 { // from ever new ports, over 100 s
-		b.Complain("packet not served", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: i % 60_000}, "not_served")
+		b.Report("packet not served", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: i % 60_000}, "not_served")
 		now = now.Add(500 * time.Microsecond)
 	}
 	require.Equal(t, 2, strings.Count(out.String(), "\n"))
@@ -31,12 +31,12 @@
 	now := time.Unix(0, 0)
 	b := New(slog.New(slog.NewTextHandler(&out, nil)), func() time.Time { return now })
 	for i := range 100_000 {
-		b.Complain("malformed packet", &net.UnixAddr{Name: fmt.Sprint("p", i)}, "magic")
+		b.Report("malformed packet", &net.UnixAddr{Name: fmt.Sprint("p", i)}, "magic")
 	}
 	require.Equal(t, most+1, strings.Count(out.String(), "\n"))
 	require.LessOrEqual(t, len(b.pairs), most+1)
 	now = now.Add(2 * again) // the quiet ones are forgotten, so a new peer is heard again
-	b.Complain("malformed packet", &net.UnixAddr{Name: "new"}, "magic")
+	b.Report("malformed packet", &net.UnixAddr{Name: "new"}, "magic")
 	require.Contains(t, out.String(), "from=new")
 	require.Less(t, len(b.pairs), 3)
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -1,6 +1,6 @@
 // Package link holds what the fronts share about connections: a read loop that feeds a
 // protocol's framer, a server that bounds what it accepts and drains, and a pool of
-// connections to regions. It knows no protocol.
+// connections to workers. It knows no protocol.
 package link
 
 import (
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// idleShare is the share of the time after which a region closes an idle connection at
-// which we close ours: a request that crosses the region's close ends as a reset.
+// idleShare is the share of the time after which a worker closes an idle connection at
+// which we close ours: a request that crosses the worker's close ends as a reset.
 const idleShare = 0.6
 
 // settleFor is how long a connection rests after an answer before it is used again. A worker that
@@ -36,7 +36,7 @@
 	Over(addr string) int  // how many more are held than may be: so many idle ones are to be closed
 }
 
-// Pool keeps connections to regions, by address. One message exchange at a time travels on
+// Pool keeps connections to workers, by address. One message exchange at a time travels on
 // a connection: Get takes it out of the pool and Put brings it back.
 type Pool[M any] struct {
 	dial    Dial
@@ -52,11 +52,11 @@
 	closed bool
 }
 
-// Conn is one connection to a region. Its reader stays on it while it is idle too, so that
-// the region's close is seen before the next request is written.
+// Conn is one connection to a worker. Its reader stays on it while it is idle too, so that
+// the worker's close is seen before the next request is written.
 type Conn[M any] struct {
 	net.Conn
-	In <-chan *M // what the region sends; closed at the connection's end
+	In <-chan *M // what the worker sends; closed at the connection's end
 
 	pool  *Pool[M]
 	addr  string
@@ -72,10 +72,10 @@
 }
 
 // NewPool returns a pool that opens connections within a time, closes them well before the
-// regions do, and holds at most so many.
-func NewPool[M any](dial Dial, framer func() Framer[M], connect, regionsIdle time.Duration, most int) *Pool[M] {
+// workers do, and holds at most so many.
+func NewPool[M any](dial Dial, framer func() Framer[M], connect, workersIdle time.Duration, most int) *Pool[M] {
 	return &Pool[M]{dial: dial, framer: framer, connect: connect, most: most,
-		idleFor: time.Duration(idleShare * float64(regionsIdle))}
+		idleFor: time.Duration(idleShare * float64(workersIdle))}
 }
 
 // Bound has connections opened from now on within a limit. It is called before the first Get.
--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -71,7 +71,7 @@
 		end := <-far
 		_, err = end.Read(make([]byte, 1))
 		require.ErrorIs(t, err, io.EOF)
-		// Idle ones are closed well before the region would, at 6 s of its 10.
+		// Idle ones are closed well before the worker would, at 6 s of its 10.
 		p.Put(b)
 		time.Sleep(5 * time.Second)
 		require.Len(t, p.idle, 1)
@@ -88,7 +88,7 @@
 	})
 }
 
-// A region's close is seen while the connection is idle, so that no request is written to
+// A worker's close is seen while the connection is idle, so that no request is written to
 // it; and what comes unasked ends the connection, or it would pass for the next answer.
 func TestPoolReadsIdleConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/ops/door.go
+++ b/internal/ops/door.go
@@ -16,8 +16,8 @@
 	"sync"
 	"time"
 
-	"tinroute.example/tinroute/internal/complain"
-	"tinroute.example/tinroute/internal/hand"
+	"tinroute.example/tinroute/internal/limitedlog"
+	"tinroute.example/tinroute/internal/override"
 	"tinroute.example/tinroute/internal/platform"
 )
 
@@ -36,7 +36,7 @@
 	// young is how long a new connection has to send its call before it may give way.
 	young = 100 * time.Millisecond
 	// maxID bounds the body of a call about a worker.
-	maxID = hand.MaxName
+	maxID = override.MaxName
 	// lookEvery is how often a call about a worker looks whether the cores obey it.
 	lookEvery = 2 * time.Millisecond
 	// lookAgain is how long the accept loop rests after an error, out of descriptors most
@@ -60,20 +60,20 @@
 	Most    int // connections at once; Most where 0
 	Ready   func() bool
 	Figures func() Figures
-	Hand    *hand.Book
+	Hand    *override.Set
 	Heard   func() uint64
 	Now     func() time.Time // time.Now where nil
 }
 
 // Door serves the operators' calls. Its zero value is not ready: use New.
 type Door struct {
-	o        Options
-	complain *complain.Book
-	mu       sync.Mutex
-	conns    map[*call]bool
-	closed   bool
-	listener net.Listener
-	wg       sync.WaitGroup
+	o          Options
+	limitedLog *limitedlog.Logger
+	mu         sync.Mutex
+	conns      map[*call]bool
+	closed     bool
+	listener   net.Listener
+	wg         sync.WaitGroup
 }
 
 // call is one connection, with its one call.
@@ -94,7 +94,7 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Door{o: o, complain: complain.New(o.Log, nil), conns: map[*call]bool{}}
+	return &Door{o: o, limitedLog: limitedlog.New(o.Log, nil), conns: map[*call]bool{}}
 }
 
 // Serve accepts calls until the listener is closed, or Close is called.
@@ -112,7 +112,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case err != nil:
-			d.complain.Complain("operators' door cannot accept", nil, "accept", "err", err)
+			d.limitedLog.Report("operators' door cannot accept", nil, "accept", "err", err)
 			time.Sleep(lookAgain)
 			continue
 		}
@@ -186,10 +186,10 @@
 		var timeout net.Error
 		switch {
 		case errors.As(err, &timeout) && timeout.Timeout():
-			d.complain.Complain("operators' call not whole in time", c.RemoteAddr(), "slow")
+			d.limitedLog.Report("operators' call not whole in time", c.RemoteAddr(), "slow")
 			d.write(c, http.StatusRequestTimeout, "the call did not come whole within "+callWithin.String())
 		case isMalformed(err):
-			d.complain.Complain("malformed operators' call", c.RemoteAddr(), "malformed", "err", err)
+			d.limitedLog.Report("malformed operators' call", c.RemoteAddr(), "malformed", "err", err)
 			d.write(c, http.StatusBadRequest, "malformed: "+err.Error())
 		}
 		return // else the caller has gone, or was pushed out for a newer one
@@ -199,7 +199,7 @@
 	d.mu.Unlock()
 	status, text := d.answer(m, time.Now())
 	if status >= 400 {
-		d.complain.Complain("operators' call refused", c.RemoteAddr(), strconv.Itoa(status), "path", m.Request.URL.Path)
+		d.limitedLog.Report("operators' call refused", c.RemoteAddr(), strconv.Itoa(status), "path", m.Request.URL.Path)
 	}
 	d.write(c, status, text)
 }
@@ -272,9 +272,9 @@
 		gen, err = d.o.Hand.Attach(id)
 	}
 	switch {
-	case errors.Is(err, hand.ErrUnknown):
+	case errors.Is(err, override.ErrUnknown):
 		return http.StatusNotFound, "no worker " + strconv.Quote(id) + " was ever listed"
-	case errors.Is(err, hand.ErrFull):
+	case errors.Is(err, override.ErrFull):
 		return http.StatusConflict, err.Error()
 	case err != nil:
 		return http.StatusInternalServerError, err.Error()
--- a/internal/ops/door_test.go
+++ b/internal/ops/door_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tinroute.example/tinroute/internal/hand"
+	"tinroute.example/tinroute/internal/override"
 	"tinroute.example/tinroute/internal/platform"
 )
 
@@ -20,14 +20,14 @@
 	addr  string
 	ready atomic.Bool
 	heard atomic.Uint64
-	book  *hand.Book
+	book  *override.Set
 	door  *Door
 }
 
 // open serves a door on loopback; the cores obey every change at once unless lag is set.
 func open(t *testing.T, lag bool) *stand {
-	s := &stand{book: hand.New()}
-	s.book.Listed(time.Now(), "s-1", "s-2")
+	s := &stand{book: override.New()}
+	s.book.UpdateMembers(time.Now(), "s-1", "s-2")
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s.addr = l.Addr().String()
@@ -103,7 +103,7 @@
 		{"GET", "/_nothing", "", 404},
 		{"POST", PathDetach, "", 400},
 		{"POST", PathDetach, "s 1", 400},
-		{"POST", PathAttach, strings.Repeat("s", hand.MaxName+1), 400},
+		{"POST", PathAttach, strings.Repeat("s", override.MaxName+1), 400},
 	} {
 		code, _ := s.do(t, bad.method, bad.path, bad.body)
 		require.Equal(t, bad.code, code, "%s %s %q", bad.method, bad.path, bad.body)
@@ -189,8 +189,8 @@
 	f.Add([]byte("POST /_workers/detach HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\ns-1"))
 	f.Add([]byte("POST /_workers/attach HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ns-1\r\n0\r\n\r\n"))
 	f.Add([]byte("GET /_vars HTTP/1.0\r\n\r\n"))
-	book := hand.New()
-	book.Listed(time.Now(), "s-1")
+	book := override.New()
+	book.UpdateMembers(time.Now(), "s-1")
 	d := New(Options{Hand: book, Ready: func() bool { return true }, Heard: book.Gen})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		fr := platform.NewRequestFramer()
--- a/internal/otlp/lane.go
+++ b/internal/otlp/lane.go
@@ -39,14 +39,13 @@
 // Lane delivers one signal's batches in their order: from memory while the collector takes them,
 // and by way of the spool, where there is one, while it does not.
 type Lane struct {
-	o       Options
-	wake    chan struct{}
-	mu      sync.Mutex
-	queue   [][]byte
-	bytes   int64
-	stats   Stats
-	told    map[string]time.Time
-	spooled bool // the collector does not take batches: they go to disk
+	o     Options
+	wake  chan struct{}
+	mu    sync.Mutex
+	queue [][]byte
+	bytes int64
+	stats Stats
+	told  map[string]time.Time
 }
 
 // NewLane returns a lane that delivers nothing until Run.
--- a/internal/hand/hand.go
+++ b/internal/override/override.go
@@ -1,11 +1,11 @@
-// Package hand keeps the workers that operators have taken out by hand: from the word until
-// the call back nothing new goes to them, whatever the service table says. It decides and
+// Package override keeps the workers that operators have taken out by hand: from the word until
+// the call back nothing new goes to them, whatever discovery says. It decides and
 // remembers, and does no I/O; the caller hands it the time and carries its state to a
 // successor process (see Encode).
 //
-// A Book is safe for concurrent use: the operators' door writes to it, and every core reads
+// A Set is safe for concurrent use: the operators' door writes to it, and every core reads
 // it on its own goroutine.
-package hand
+package override
 
 import (
 	"encoding/binary"
@@ -32,8 +32,8 @@
 	ErrFull    = errors.New("too many workers out by hand")
 )
 
-// Book is the set of workers out by hand, with the names that were ever listed.
-type Book struct {
+// Set is the set of workers out by hand, with the names that were ever listed.
+type Set struct {
 	mu     sync.Mutex
 	out    map[string]time.Time // since when, on the handed clock
 	listed map[string]time.Time // last listed
@@ -42,14 +42,14 @@
 }
 
 // New returns an empty book.
-func New() *Book { return &Book{out: map[string]time.Time{}, listed: map[string]time.Time{}} }
+func New() *Set { return &Set{out: map[string]time.Time{}, listed: map[string]time.Time{}} }
 
 // Gen is the generation of the set: it grows with every change, here or adopted. Any goroutine
 // may ask it, cheaply.
-func (b *Book) Gen() uint64 { return b.gen.Load() }
+func (b *Set) Gen() uint64 { return b.gen.Load() }
 
 // Subscribe returns a channel that is given a signal, without blocking, after each change.
-func (b *Book) Subscribe() <-chan struct{} {
+func (b *Set) Subscribe() <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	ch := make(chan struct{}, 1)
@@ -57,9 +57,9 @@
 	return ch
 }
 
-// Listed notes names that a service table lists now. An id never listed cannot be taken out or
+// UpdateMembers notes names that a discovery lists now. An id never listed cannot be taken out or
 // back.
-func (b *Book) Listed(now time.Time, names ...string) {
+func (b *Set) UpdateMembers(now time.Time, names ...string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, n := range names {
@@ -87,7 +87,7 @@
 
 // Detach takes a worker out from now on. Repeating it changes nothing. It fails for a name
 // that was never listed, and when MaxOut are out.
-func (b *Book) Detach(now time.Time, name string) (gen uint64, err error) {
+func (b *Set) Detach(now time.Time, name string) (gen uint64, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if _, ok := b.listed[name]; !ok {
@@ -104,7 +104,7 @@
 }
 
 // Attach ends a worker's ban. For a listed worker that is not out it changes nothing.
-func (b *Book) Attach(name string) (gen uint64, err error) {
+func (b *Set) Attach(name string) (gen uint64, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if _, ok := b.listed[name]; !ok {
@@ -119,7 +119,7 @@
 	return b.changed(), nil
 }
 
-func (b *Book) changed() uint64 {
+func (b *Set) changed() uint64 {
 	g := b.gen.Add(1)
 	for _, ch := range b.subs {
 		select {
@@ -131,7 +131,7 @@
 }
 
 // Out tells whether a worker is out by hand.
-func (b *Book) Out(name string) bool {
+func (b *Set) Out(name string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	_, ok := b.out[name]
@@ -145,7 +145,7 @@
 }
 
 // State returns the book's state.
-func (b *Book) State() State {
+func (b *Set) State() State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := State{Gen: b.gen.Load(), Out: make([]string, 0, len(b.out))}
@@ -158,7 +158,7 @@
 
 // Adopt takes another process's state where it is newer than the book's own, and tells
 // whether it did. The names in it count as listed.
-func (b *Book) Adopt(now time.Time, s State) bool {
+func (b *Set) Adopt(now time.Time, s State) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s.Gen <= b.gen.Load() {
--- a/internal/hand/hand_test.go
+++ b/internal/override/override_test.go
@@ -1,4 +1,4 @@
-package hand
+package override
 
 import (
 	"testing"
@@ -19,7 +19,7 @@
 	_, err = b.Attach("s-1")
 	require.ErrorIs(t, err, ErrUnknown)
 
-	b.Listed(t0, "s-1", "s-2")
+	b.UpdateMembers(t0, "s-1", "s-2")
 	changes := b.Subscribe()
 	g1, err := b.Detach(t0, "s-1")
 	require.NoError(t, err)
@@ -44,13 +44,13 @@
 func TestBounds(t *testing.T) {
 	b := New()
 	for i := range MaxListed + 10 {
-		b.Listed(t0.Add(time.Duration(i)), string(rune(0x1000+i)))
+		b.UpdateMembers(t0.Add(time.Duration(i)), string(rune(0x1000+i)))
 	}
 	require.LessOrEqual(t, len(b.listed), MaxListed, "what is listed is bounded")
-	b.Listed(t0.Add(time.Hour), "last")
+	b.UpdateMembers(t0.Add(time.Hour), "last")
 	for i := range MaxOut {
 		name := "w" + string(rune(0x1000+i))
-		b.Listed(t0.Add(time.Hour), name)
+		b.UpdateMembers(t0.Add(time.Hour), name)
 		_, err := b.Detach(t0, name)
 		require.NoError(t, err)
 	}
@@ -58,7 +58,7 @@
 	require.ErrorIs(t, err, ErrFull)
 	require.Len(t, b.State().Out, MaxOut)
 	long := string(make([]byte, MaxName+1))
-	b.Listed(t0, long)
+	b.UpdateMembers(t0, long)
 	_, err = b.Detach(t0, long)
 	require.ErrorIs(t, err, ErrUnknown, "no worker has such a name")
 }
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -55,10 +55,10 @@
 	return all
 }
 
-type noTable struct{}
+type noDiscovery struct{}
 
-func (noTable) Watch() {}
-func (noTable) Fetch() {}
+func (noDiscovery) Watch() {}
+func (noDiscovery) Fetch() {}
 
 type noAnswer struct{}
 
@@ -69,8 +69,7 @@
 	t       *testing.T
 	core    *dispatch.Core
 	policy  *manualPolicy
-	regions *Regions
-	now     time.Duration // of the core, which works by hand
+	workers *Workers
 	worker  *worker
 }
 
@@ -86,17 +85,17 @@
 	}})
 	require.NoError(t, err)
 	s.core = core
-	s.regions = NewRegions(core, slog.New(slog.DiscardHandler), w.dial, 16)
-	core.Connect(s.regions, noTable{})
+	s.workers = NewWorkers(core, slog.New(slog.DiscardHandler), w.dial, 16)
+	core.Connect(s.workers, noDiscovery{})
 	go core.Run(t.Context())
 	s.list(balance.Serving)
-	core.Submit(&dispatch.Transaction{ID: "r1", Tenant: -1, Patience: time.Minute, Slots: 1, Terminal: noAnswer{},
-		Payload: &request{method: "POST", uri: "/price-read", host: "x", headers: [][2]string{{headerID, "r1"}}}})
+	core.Submit(&dispatch.Request{ID: "r1", Tenant: -1, Patience: time.Minute, Slots: 1, Client: noAnswer{},
+		Payload: &forwarded{method: "POST", uri: "/price-read", host: "x", headers: [][2]string{{headerID, "r1"}}}})
 	return s
 }
 
 func (s *stage) list(c balance.Condition) {
-	s.core.Listed(balance.ListFull, []dispatch.Region{{Name: "s-1", Addr: "worker",
+	s.core.UpdateMembers(balance.ListFull, []dispatch.Worker{{Name: "s-1", Addr: "worker",
 		Member: balance.Member{ID: workerID, Condition: c, Weight: 1}}})
 }
 
@@ -325,8 +324,8 @@
 	})
 }
 
-// A region repeats a call-back whose reply was lost. One of an earlier attempt must not end a later
-// attempt at the same region, which runs; once that has been taken, its own are its own.
+// A worker repeats a call-back whose reply was lost. One of an earlier attempt must not end a later
+// attempt at the same worker, which runs; once that has been taken, its own are its own.
 func TestARepeatedCallBackDoesNotEndALaterAttempt(t *testing.T) {
 	accept := true
 	w := &worker{}
@@ -338,7 +337,7 @@
 	}
 	onStage(t, w, func(t *testing.T, s *stage) {
 		s.send()
-		_, err := s.regions.Event("r1", "s-1", "returned", 0, nil)
+		_, err := s.workers.Event("r1", "s-1", "returned", 0, nil)
 		require.NoError(t, err)
 		synctest.Wait()
 		require.Equal(t, []balance.Status{balance.StatusFull}, s.policy.statuses())
@@ -347,12 +346,12 @@
 		w.mu.Unlock()
 		s.send()
 		for _, state := range []string{"returned", "lost", "failed"} {
-			_, err = s.regions.Event("r1", "s-1", state, 0, nil)
+			_, err = s.workers.Event("r1", "s-1", state, 0, nil)
 			require.True(t, errors.Is(err, errNotYet), state)
 		}
 		synctest.Wait()
 		require.Len(t, s.policy.statuses(), 1)
-		known, err := s.regions.Event("r1", "s-1", "done", 1, []byte("result"))
+		known, err := s.workers.Event("r1", "s-1", "done", 1, []byte("result"))
 		require.NoError(t, err)
 		require.True(t, known, "a result is a result")
 	})
--- a/internal/platform/codec.go
+++ b/internal/platform/codec.go
@@ -1,6 +1,6 @@
 // Package platform is the thin front for the platform's protocol, HTTP/1.1 on plain TCP:
-// terminals (clients) and call-backs on one address, a pool of connections to the regions
-// (workers), and the service table (discovery).
+// clients and call-backs on one address, a pool of connections to the workers
+// (workers), and discovery (discovery).
 package platform
 
 import (
--- a/internal/platform/codec_test.go
+++ b/internal/platform/codec_test.go
@@ -88,7 +88,7 @@
 }
 
 // A head that can be read in two ways may hide a request in what one reading takes for a
-// body; and what a region may not be able to read must not reach one.
+// body; and what a worker may not be able to read must not reach one.
 func TestHeadsWithTwoReadings(t *testing.T) {
 	for head, want := range map[string]string{
 		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 60\r\nTransfer-Encoding: chunked":   "beside Transfer-Encoding",
--- a/internal/platform/table.go
+++ b/internal/platform/discovery.go
@@ -40,12 +40,12 @@
 // errSilent marks a call that nothing answered in time.
 var errSilent = errors.New("no answer")
 
-// Table keeps the service table by asking discovery. It implements dispatch.ServiceTable.
+// Discovery keeps discovery by asking discovery. It implements dispatch.Discovery.
 //
 // A subscription is a chain of calls. The first does not wait, so that the balancer has
 // its answer at once; each next one follows the last answer without a pause, since a watch
 // is only continued within 200 ms.
-type Table struct {
+type Discovery struct {
 	core  *dispatch.Core
 	log   *slog.Logger
 	names *config.Names
@@ -69,20 +69,20 @@
 	framer  link.Framer[Message]
 }
 
-// NewTable returns a table that asks at the address once it runs.
-func NewTable(core *dispatch.Core, log *slog.Logger, names *config.Names, dial link.Dial, addr string) *Table {
+// NewDiscovery returns a table that asks at the address once it runs.
+func NewDiscovery(core *dispatch.Core, log *slog.Logger, names *config.Names, dial link.Dial, addr string) *Discovery {
 	short := watchShort
 	if within := core.Settings().AskWithin; within > 0 { // past it the rules take a change for told
 		short = min(short, within*2/5)
 	}
 	long := min(watchLong, max(short, time.Duration(core.Settings().Fleet)*watchEach))
-	return &Table{core: core, log: log, names: names, dial: dial, short: short, long: long, addr: addr, next: addr, ask: make(chan bool, 2)}
+	return &Discovery{core: core, log: log, names: names, dial: dial, short: short, long: long, addr: addr, next: addr, ask: make(chan bool, 2)}
 }
 
 // Move makes the table ask at another address from now on. It does so at once and for the
 // whole list, since the versions of two discoveries cannot be compared. The list in use
 // stays until then, and what the old address still says is dropped.
-func (t *Table) Move(addr string) {
+func (t *Discovery) Move(addr string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if addr != t.next {
@@ -95,7 +95,7 @@
 }
 
 // arrive turns to the address to be asked and returns a context that ends when it is left.
-func (t *Table) arrive(ctx context.Context) (here context.Context, moved bool) {
+func (t *Discovery) arrive(ctx context.Context) (here context.Context, moved bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	here, t.leave = context.WithCancel(ctx)
@@ -111,12 +111,12 @@
 }
 
 // Watch subscribes to changes.
-func (t *Table) Watch() { t.request(true) }
+func (t *Discovery) Watch() { t.request(true) }
 
 // Fetch asks for the whole list.
-func (t *Table) Fetch() { t.request(false) }
+func (t *Discovery) Fetch() { t.request(false) }
 
-func (t *Table) request(watch bool) {
+func (t *Discovery) request(watch bool) {
 	select {
 	case t.ask <- watch:
 	default: // two calls wait already
@@ -125,20 +125,20 @@
 
 // Start begins with the list as last held. Where there is none the balancer is told of an
 // empty one, or it would never ask for a better.
-func (t *Table) Start(known []byte) error {
-	var list []dispatch.Region
+func (t *Discovery) Start(known []byte) error {
+	var list []dispatch.Worker
 	if len(known) > 0 {
 		var err error
 		if _, list, err = t.read(known); err != nil {
 			return fmt.Errorf("known: %w", err)
 		}
 	}
-	t.core.Listed(balance.ListCached, list)
+	t.core.UpdateMembers(balance.ListCached, list)
 	return nil
 }
 
 // Run asks until the context ends.
-func (t *Table) Run(ctx context.Context) {
+func (t *Discovery) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		here, moved := t.arrive(ctx)
 		if moved {
@@ -161,7 +161,7 @@
 // subscribe watches until discovery turns a call away or cannot be reached, or the context ends. A
 // watch that falls silent or is cut off is opened anew at once: that says nothing of discovery, and
 // what it misses counts as told before long.
-func (t *Table) subscribe(ctx context.Context) {
+func (t *Discovery) subscribe(ctx context.Context) {
 	for t.catchUp(ctx) {
 		err := t.once(ctx, true, t.hold())
 		for err == nil {
@@ -179,7 +179,7 @@
 }
 
 // catchUp makes a call that does not wait, and tells whether it was answered.
-func (t *Table) catchUp(ctx context.Context) bool {
+func (t *Discovery) catchUp(ctx context.Context) bool {
 	err := t.once(ctx, t.held, 0)
 	if err != nil && ctx.Err() == nil {
 		t.failed(err)
@@ -189,9 +189,9 @@
 
 // failed tells the core that no list could be had, and has later watches hold for longer: shorter
 // ones are more calls.
-func (t *Table) failed(err error) {
-	t.log.Warn("service table unreachable", "err", err)
-	t.core.ListFailed()
+func (t *Discovery) failed(err error) {
+	t.log.Warn("discovery unreachable", "err", err)
+	t.core.UpdateFailed()
 	if t.short<<t.backoff < t.long {
 		t.backoff++
 	}
@@ -217,14 +217,14 @@
 // hold is how long the next watch is to be held: between half and all of what is allowed now, by
 // lot, since dispatchers that started together, or lost their watches together, would otherwise
 // come back together at each end.
-func (t *Table) hold() time.Duration {
+func (t *Discovery) hold() time.Duration {
 	most := min(t.short<<t.backoff, t.long)
 	return most/2 + rand.N(most/2)
 }
 
 // once makes one call and tells the core of its answer. An answer that comes when its address has
 // been left is old news and counts no more.
-func (t *Table) once(ctx context.Context, watch bool, wait time.Duration) error {
+func (t *Discovery) once(ctx context.Context, watch bool, wait time.Duration) error {
 	full, list, err := t.inquire(ctx, watch, wait)
 	if ctx.Err() != nil {
 		return ctx.Err()
@@ -238,15 +238,15 @@
 		how = balance.ListFull
 	}
 	if full || len(list) > 0 || wait == 0 {
-		t.log.Info("service table", "version", t.version, "full", full, "entries", len(list))
-		t.core.Listed(how, list)
+		t.log.Info("discovery", "version", t.version, "full", full, "entries", len(list))
+		t.core.UpdateMembers(how, list)
 	}
 	return nil
 }
 
 // inquire makes one call. A connection kept from an earlier call may have been closed in
 // the meantime: an inquiry repeats harmlessly, so it is made again on a new one.
-func (t *Table) inquire(ctx context.Context, watch bool, wait time.Duration) (bool, []dispatch.Region, error) {
+func (t *Discovery) inquire(ctx context.Context, watch bool, wait time.Duration) (bool, []dispatch.Worker, error) {
 	path := pathTable
 	if watch {
 		path += "?after=" + strconv.FormatInt(t.version, 10) + "&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
@@ -273,7 +273,7 @@
 	return full, list, nil
 }
 
-func (t *Table) call(ctx context.Context, path string, within time.Duration) (m *Message, err error) {
+func (t *Discovery) call(ctx context.Context, path string, within time.Duration) (m *Message, err error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	if t.conn == nil {
@@ -317,7 +317,7 @@
 	"DELETED": balance.Gone}
 
 // read reads a list in discovery's form and notes its version.
-func (t *Table) read(data []byte) (full bool, list []dispatch.Region, err error) {
+func (t *Discovery) read(data []byte) (full bool, list []dispatch.Worker, err error) {
 	v, err := fastjson.ParseBytes(data)
 	if err != nil {
 		return false, nil, err
@@ -336,8 +336,8 @@
 		if name == "" || !ok {
 			return false, nil, fmt.Errorf("servers: id %.40q, state %.40q", name, state)
 		}
-		list = append(list, dispatch.Region{Name: name, Addr: string(e.GetStringBytes("addr")), Member: balance.Member{
-			ID: dispatch.RegionID(name), Condition: condition, Weight: e.GetFloat64("weight"),
+		list = append(list, dispatch.Worker{Name: name, Addr: string(e.GetStringBytes("addr")), Member: balance.Member{
+			ID: dispatch.WorkerIDOf(name), Condition: condition, Weight: e.GetFloat64("weight"),
 			Kind: named(t.names.Kind, e.GetStringBytes("kind")), Zone: named(t.names.Zone, e.GetStringBytes("zone")),
 			Cell: e.GetInt("cell"), Started: time.Duration(e.GetFloat64("started_ms") * 1e6)}})
 	}
--- a/internal/platform/table_test.go
+++ b/internal/platform/discovery_test.go
@@ -23,7 +23,7 @@
 	"tinroute.example/tinroute/internal/config"
 )
 
-// discovery is a stand-in service table on a pipe: it answers each call by the next of its
+// discovery is a stand-in discovery on a pipe: it answers each call by the next of its
 // answers, as status and body, and keeps the paths asked for. The answer "silent" is none, "held"
 // an empty change when the call's wait is over, "reset" a close, "spoilt" no list.
 type discovery struct {
@@ -84,12 +84,12 @@
 	}
 }
 
-// noRegions takes the lists and is sent nothing in these tests.
-type noRegions struct{}
+// noWorkers takes the lists and is sent nothing in these tests.
+type noWorkers struct{}
 
-func (noRegions) Start(*dispatch.Task)     {}
-func (noRegions) Cancel(*dispatch.Task)    {}
-func (noRegions) Listed([]dispatch.Region) {}
+func (noWorkers) Start(*dispatch.Attempt)         {}
+func (noWorkers) Cancel(*dispatch.Attempt)        {}
+func (noWorkers) UpdateMembers([]dispatch.Worker) {}
 
 func (d *discovery) close() {
 	d.mu.Lock()
@@ -109,15 +109,15 @@
 func play(t *testing.T, d *discovery, length time.Duration) { playWith(t, d, length, nil) }
 
 // playWith does the same, and something to the table beside it.
-func playWith(t *testing.T, d *discovery, length time.Duration, beside func(*Table)) {
+func playWith(t *testing.T, d *discovery, length time.Duration, beside func(*Discovery)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := balance.Settings{Fleet: max(1, d.fleet), Kinds: 1, MaxAttempts: 3, AskList: true, ConnectTimeout: 250 * time.Millisecond,
 			Tick: 5 * time.Millisecond, AskWithin: 10 * time.Second,
 			Classes: []balance.Class{{Name: "price-read", Deadline: 5 * time.Second, Worth: 1, Kind: -1}}}
 		core, err := dispatch.New(dispatch.Options{Settings: s})
 		require.NoError(t, err)
-		table := NewTable(core, slog.New(slog.DiscardHandler), &config.Names{}, d.dial, "discovery")
-		core.Connect(noRegions{}, table)
+		table := NewDiscovery(core, slog.New(slog.DiscardHandler), &config.Names{}, d.dial, "discovery")
+		core.Connect(noWorkers{}, table)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go core.Run(ctx)
@@ -208,7 +208,7 @@
 // none: nothing that happened afterwards was heard.
 func TestTableMovedThereAndBackWatchesAgain(t *testing.T) {
 	d := &discovery{answers: []string{whole, "held", "held", "held", "held", "held", "held", "held", "held"}}
-	playWith(t, d, 10*time.Second, func(table *Table) {
+	playWith(t, d, 10*time.Second, func(table *Discovery) {
 		time.Sleep(time.Second)
 		table.Move("elsewhere")
 		table.Move("discovery")
--- a/internal/platform/head.go
+++ b/internal/platform/head.go
@@ -28,7 +28,7 @@
 }
 
 // checkHead looks at a request's head as it came, before http.ReadRequest makes one
-// reading of it: where two readings are possible, the front before us or a region behind
+// reading of it: where two readings are possible, the front before us or a worker behind
 // us may take the other, and what one takes for a body is a request to the next. So it
 // refuses what net/http settles in silence:
 //   - a Content-Length beside a Transfer-Encoding (net/http drops the length), either of
@@ -37,7 +37,7 @@
 //     name that no one looks for) and a line that continues the one before;
 //   - a line that ends in a bare LF, and any other control byte;
 //   - versions that it would answer as if they were 1.1, no Host in 1.1, and a target that
-//     is not a plain path and query: regions close on what they cannot read, whatever else
+//     is not a plain path and query: workers close on what they cannot read, whatever else
 //     waits on that connection.
 func checkHead(head []byte) error {
 	line, rest, _ := bytes.Cut(head, []byte("\n"))
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -33,19 +33,19 @@
 	maxID = 128
 )
 
-// request is the payload of a transaction: what passes through to regions unchanged.
-type request struct {
+// forwarded is the payload of a request: what passes through to workers unchanged.
+type forwarded struct {
 	method, uri, host string
 	headers           [][2]string
 	body              []byte
 }
 
-// passed are the headers that regions are given as they came.
+// passed are the headers that workers are given as they came.
 var passed = []string{headerID, headerOnceKey, headerOwner, headerRetry, headerCost, headerExtra, headerTrace,
 	"Tracestate", "Content-Type"}
 
-// readTransaction reads a client's request. The error names what is malformed.
-func readTransaction(m *Message, s *balance.Settings, names *config.Names) (*dispatch.Transaction, error) {
+// readRequest reads a client's request. The error names what is malformed.
+func readRequest(m *Message, s *balance.Settings, names *config.Names) (*dispatch.Request, error) {
 	r := m.Request
 	h := r.Header
 	id := h.Get(headerID)
@@ -61,20 +61,20 @@
 	if c.Effect == balance.Keyed && h.Get(headerOnceKey) == "" {
 		return nil, fmt.Errorf("%s: missing for class %s", headerOnceKey, c.Name)
 	}
-	tx := &dispatch.Transaction{ID: id, Class: class, Tenant: -1, Patience: c.Deadline, Slots: 1,
+	request := &dispatch.Request{ID: id, Class: class, Tenant: -1, Patience: c.Deadline, Slots: 1,
 		Trace: h.Get(headerTrace), State: h.Get("Tracestate")}
 	if owner := h.Get(headerOwner); owner != "" {
 		if t, ok := names.Tenant[owner]; ok {
-			tx.Tenant = t
+			request.Tenant = t
 		}
 	}
 	query, err := url.ParseQuery(r.URL.RawQuery)
 	if err != nil {
 		return nil, fmt.Errorf("query: %w", err)
 	}
-	tx.Key = query.Get("k")
+	request.Key = query.Get("k")
 	if text := h.Get(headerDeadline); text != "" {
-		if tx.Patience, err = parseDeadline(text); err != nil {
+		if request.Patience, err = parseDeadline(text); err != nil {
 			return nil, fmt.Errorf("%s: %w", headerDeadline, err)
 		}
 	}
@@ -83,22 +83,22 @@
 		if err != nil || !(us >= 0 && us < 1e13) {
 			return nil, fmt.Errorf("%s: not a number of microseconds: %.40q", headerCost, text)
 		}
-		tx.Hint = time.Duration(us * 1e3)
+		request.Hint = time.Duration(us * 1e3)
 	}
-	if err := readExtra(h.Get(headerExtra), tx); err != nil {
+	if err := readExtra(h.Get(headerExtra), request); err != nil {
 		return nil, err
 	}
-	q := &request{method: r.Method, uri: r.RequestURI, host: r.Host, body: m.Body}
+	q := &forwarded{method: r.Method, uri: r.RequestURI, host: r.Host, body: m.Body}
 	for _, name := range passed {
 		if v := h.Get(name); v != "" {
 			q.headers = append(q.headers, [2]string{name, v})
 		}
 	}
-	tx.Payload = q
-	return tx, nil
+	request.Payload = q
+	return request, nil
 }
 
-func readExtra(text string, tx *dispatch.Transaction) error {
+func readExtra(text string, request *dispatch.Request) error {
 	if text == "" {
 		return nil
 	}
@@ -111,10 +111,10 @@
 		switch name {
 		case "slots":
 			if x > 0 {
-				tx.Slots = x
+				request.Slots = x
 			}
 		case "memory":
-			tx.Memory = x
+			request.Memory = x
 		}
 	}
 	return nil
@@ -150,13 +150,13 @@
 	return time.Duration(x * float64(unit)), nil
 }
 
-// encode writes the request to a region, which is told how long we will wait.
-func (q *request) encode(wait time.Duration, trace string) []byte {
+// encode writes the request to a worker, which is told how long we will wait.
+func (q *forwarded) encode(wait time.Duration, trace string) []byte {
 	b := make([]byte, 0, 512+len(q.body))
 	b = append(append(append(append(b, q.method...), ' '), q.uri...), " HTTP/1.1\r\nHost: "...)
 	b = append(append(b, q.host...), "\r\n"...)
 	for _, h := range q.headers {
-		if h[0] == headerTrace && trace != "" { // the client's own names its span, not our task's
+		if h[0] == headerTrace && trace != "" { // the client's own names its span, not our attempt's
 			continue
 		}
 		b = append(append(append(append(b, h[0]...), ": "...), h[1]...), "\r\n"...)
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -13,8 +13,8 @@
 	"github.com/valyala/fastjson"
 
 	"tinroute.example/tinroute/dispatch"
-	"tinroute.example/tinroute/internal/complain"
 	"tinroute.example/tinroute/internal/config"
+	"tinroute.example/tinroute/internal/limitedlog"
 	"tinroute.example/tinroute/internal/link"
 )
 
@@ -22,22 +22,22 @@
 // leaving: no attempt is to begin over 0.1 s after that.
 const lookForHangUp = 40 * time.Millisecond
 
-// Server is the platform's address: terminals, the regions' call-backs and the front's
+// Server is the platform's address: client connections, the workers' call-backs and the front's
 // question whether we are ready.
 type Server struct {
-	core     *dispatch.Core
-	regions  *Regions
-	log      *slog.Logger
-	names    *config.Names
-	ready    atomic.Bool
-	server   link.Server
-	complain *complain.Book
-	relay    func(body []byte) bool // hands a call-back of no request of ours to another process
+	core       *dispatch.Core
+	workers    *Workers
+	log        *slog.Logger
+	names      *config.Names
+	ready      atomic.Bool
+	server     link.Server
+	limitedLog *limitedlog.Logger
+	relay      func(body []byte) bool // hands a call-back of no request of ours to another process
 }
 
 // NewServer returns a server that holds at most so many connections.
-func NewServer(core *dispatch.Core, regions *Regions, log *slog.Logger, names *config.Names, most int) *Server {
-	s := &Server{core: core, regions: regions, log: log, names: names, complain: complain.New(log, nil)}
+func NewServer(core *dispatch.Core, workers *Workers, log *slog.Logger, names *config.Names, most int) *Server {
+	s := &Server{core: core, workers: workers, log: log, names: names, limitedLog: limitedlog.New(log, nil)}
 	s.server = link.Server{Log: log, Most: most, Handle: s.handle}
 	return s
 }
@@ -56,7 +56,7 @@
 // Relayed takes a call-back that another process handed over: it may be for a request of ours.
 func (s *Server) Relayed(body []byte) {
 	if _, err := s.event(body); err != nil && !errors.Is(err, errNotYet) {
-		s.complain.Complain("malformed call-back", nil, "relayed", "err", err)
+		s.limitedLog.Report("malformed call-back", nil, "relayed", "err", err)
 	}
 }
 
@@ -73,7 +73,7 @@
 }
 
 func (s *Server) handle(p *link.Peer) {
-	t := &terminal{Peer: p, Server: s, answers: make(chan dispatch.Answer, 1),
+	t := &clientConn{Peer: p, Server: s, answers: make(chan dispatch.Answer, 1),
 		in: make(chan *Message, 1), ended: make(chan struct{}), quit: make(chan struct{})}
 	go t.read()
 	t.serve()
@@ -83,8 +83,8 @@
 	}
 }
 
-// terminal is one connection from a client, or from a region that calls back.
-type terminal struct {
+// clientConn is one connection from a client, or from a worker that calls back.
+type clientConn struct {
 	*link.Peer
 	*Server
 	answers chan dispatch.Answer
@@ -96,12 +96,12 @@
 	last    bool          // an answer has said that the connection ends; it must not be overtaken by a reset
 }
 
-// Answer takes the final answer of the transaction that the connection waits for.
-func (t *terminal) Answer(a dispatch.Answer) { t.answers <- a }
+// Answer takes the final answer of the request that the connection waits for.
+func (t *clientConn) Answer(a dispatch.Answer) { t.answers <- a }
 
 // read goes on while a request is being served, or the client's leaving would not be seen;
 // a second request then waits in the channel, and a third with the reader.
-func (t *terminal) read() {
+func (t *clientConn) read() {
 	t.err = link.Read(t.Peer, NewRequestFramer(), func(m *Message) bool {
 		t.Busy(1) // until it is answered
 		if t.hand(m) {
@@ -115,7 +115,7 @@
 
 // hand passes a message on to be served. While it waits for that nothing is read, and the end of the
 // stream is behind what the client has sent beside: so the system is asked for it.
-func (t *terminal) hand(m *Message) bool {
+func (t *clientConn) hand(m *Message) bool {
 	select {
 	case <-t.quit: // the last answer is given: what comes now is not taken
 		return false
@@ -144,7 +144,7 @@
 
 // serve answers one message after another until the connection is not to go on. Whoever sends a
 // malformed message may not mean the next one either, so nothing after it is read.
-func (t *terminal) serve() {
+func (t *clientConn) serve() {
 	for {
 		var m *Message
 		select {
@@ -168,7 +168,7 @@
 }
 
 // message answers one message and tells whether the connection goes on.
-func (t *terminal) message(m *Message) (goes bool) {
+func (t *clientConn) message(m *Message) (goes bool) {
 	r := m.Request
 	switch {
 	case r.URL.Path == pathReady: // proves nothing: anyone can ask, and stay
@@ -194,7 +194,7 @@
 	case r.Method != http.MethodPost:
 		return t.malformed("malformed request", &refusal{http.StatusNotFound, "not found"})
 	}
-	tx, err := readTransaction(m, t.core.Settings(), t.names)
+	request, err := readRequest(m, t.core.Settings(), t.names)
 	if err != nil {
 		return t.malformed("malformed request", err)
 	}
@@ -202,21 +202,21 @@
 	if link.HungUp(t.Conn) { // the client has sent it, perhaps behind others, and gone
 		return false
 	}
-	tx.Terminal = t
-	t.core.Submit(tx)
+	request.Client = t
+	t.core.Submit(request)
 	ended := t.ended
 	for {
 		select {
 		case a := <-t.answers:
 			goes := t.final(m, a)
-			t.core.Written(tx, t.wrote)
+			t.core.Written(request, t.wrote)
 			return goes
 		case <-ended:
 			if isMalformed(t.err) { // the client is still there and is owed this answer first
 				ended = nil
 				continue
 			}
-			t.core.Leave(tx)
+			t.core.Leave(request)
 			return false
 		}
 	}
@@ -229,9 +229,9 @@
 	return errors.As(err, &bad)
 }
 
-// final writes a transaction's answer. A process that ends closes the connection with it, but not
+// final writes a request's answer. A process that ends closes the connection with it, but not
 // while another request has come on it: that one has been taken, and is owed an answer too.
-func (t *terminal) final(m *Message, a dispatch.Answer) (goes bool) {
+func (t *clientConn) final(m *Message, a dispatch.Answer) (goes bool) {
 	body := a.Result
 	if a.Verdict != dispatch.Served {
 		body = []byte(a.Reason + "\n")
@@ -240,19 +240,19 @@
 	return t.answer(statusOf(a), body, a.RetryAfter, last)
 }
 
-func (t *terminal) reply(m *Message, status int, text string) (goes bool) {
+func (t *clientConn) reply(m *Message, status int, text string) (goes bool) {
 	last := m.Close || t.server.Draining() && !t.Waiting()
 	return t.answer(status, []byte(text+"\n"), 0, last)
 }
 
 // malformed gives the connection's last answer, so that it does not go on.
-func (t *terminal) malformed(what string, err error) (goes bool) {
-	t.complain.Complain(what, t.RemoteAddr(), reasonOf(err), "err", err)
+func (t *clientConn) malformed(what string, err error) (goes bool) {
+	t.limitedLog.Report(what, t.RemoteAddr(), reasonOf(err), "err", err)
 	return t.answer(refusalStatus(err), []byte(err.Error()+"\n"), 0, true)
 }
 
 // answer writes one answer and tells whether the connection goes on after it.
-func (t *terminal) answer(status int, body []byte, retryAfter time.Duration, last bool) (goes bool) {
+func (t *clientConn) answer(status int, body []byte, retryAfter time.Duration, last bool) (goes bool) {
 	t.last = last
 	return t.write(response(status, body, retryAfter, last)) && !last
 }
@@ -262,7 +262,7 @@
 func reasonOf(err error) string { return strconv.Itoa(refusalStatus(err)) }
 
 // write sends one answer. A client that does not read it holds up its own connection only.
-func (t *terminal) write(data []byte) bool {
+func (t *clientConn) write(data []byte) bool {
 	_, err := link.Write(t.Conn, data)
 	t.wrote = err == nil
 	return t.wrote
@@ -278,5 +278,5 @@
 	if len(id) == 0 || len(from) == 0 || len(state) == 0 {
 		return false, errors.New("id, from or state: missing")
 	}
-	return s.regions.Event(string(id), string(from), string(state), v.GetFloat64("share"), v.GetStringBytes("result"))
+	return s.workers.Event(string(id), string(from), string(state), v.GetFloat64("share"), v.GetStringBytes("result"))
 }
