--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,24 +14,24 @@
 )
 
 const (
-	windowLen  = 48                     // samples kept a window: recent, and cheap to search
-	memory     = 10 * time.Second       // a worker's measured speed forgets half in this time
-	beat       = 2 * time.Second        // peers repeat what they hold this often, against lost messages
-	firstRetry = 250 * time.Millisecond // after a failed inquiry; doubles
-	crowded    = 24                     // more dispatchers than this tell each other nothing; see candidates
-	scouted    = 2                      // workers asked about their room for each request
-	asking     = 15                     // ticks that a job waits for other dispatchers' signs of room
-	looked     = 16                     // workers drawn by lot for a choice
-	lookahead  = 8                      // queued jobs looked at behind heads that fit no free room
-	hopeless   = 0.05                   // a chance of being in time that is not worth a slot
-	crossing   = 5                      // a faster run is seldom what makes an answer timely; see pick
-	fair       = 0.75                   // a chance below which the queue counts as too long
-	bearable   = 0.9                    // of a predicted wait counts: some of the queue will leave it
-	leastBack  = 50 * time.Millisecond  // a client sent away stays away this long at least
-	failing    = 0.4                    // smoothed share of errors at which a worker is held back
-	mostTries  = 2                      // doublings of the wait between tries beyond what is known; see send
-	unwanted   = 1e6                    // the cost of a worker that is chosen for lack of another
-	margin     = time.Millisecond       // answers of our own leave this long before patience ends
+	windowLen         = 48                     // samples kept a window: recent, and cheap to search
+	memory            = 10 * time.Second       // a worker's measured speed forgets half in this time
+	heartbeatInterval = 2 * time.Second        // peers repeat what they hold, against lost messages
+	firstRetry        = 250 * time.Millisecond // after a failed inquiry; doubles
+	largeFleetAbove   = 24                     // more dispatchers tell each other nothing; see candidates
+	probesPerRequest  = 2                      // workers asked about their room for each request
+	asking            = 15                     // ticks that a job waits for other dispatchers' signs of room
+	looked            = 16                     // workers drawn by lot for a choice
+	lookahead         = 8                      // queued jobs looked at behind heads that fit no free room
+	minChance         = 0.05                   // a chance of being in time that is not worth a slot
+	crossing          = 5                      // a faster run is seldom what makes an answer timely; see pick
+	fair              = 0.75                   // a chance below which the queue counts as too long
+	bearable          = 0.9                    // of a predicted wait counts: some of the queue will leave it
+	leastBack         = 50 * time.Millisecond  // a client sent away stays away this long at least
+	failing           = 0.4                    // smoothed share of errors at which a worker is held back
+	mostTries         = 2                      // doublings of the wait between tries beyond the known
+	unwanted          = 1e6                    // the cost of a worker that is chosen for lack of another
+	margin            = time.Millisecond       // answers of our own leave this long before patience ends
 )
 
 // Members takes the list's word on workers.
@@ -55,10 +55,10 @@
 		b.member(m)
 	}
 	b.purge()
-	b.crowd = b.s.Fleet > crowded
+	b.largeFleet = b.s.Fleet > largeFleetAbove
 	if how == ListCached && b.s.AskList {
 		b.ask()
-		if b.s.Peers && !b.crowd {
+		if b.s.Peers && !b.largeFleet {
 			b.host.Tell(Everyone, []byte{helloMessage})
 		}
 	} else {
@@ -99,13 +99,13 @@
 	}
 	b.enqueue(j)
 	switch {
-	case b.crowd && (b.s.Probes || b.s.Peers && !j.movable()):
+	case b.largeFleet && (b.s.Probes || b.s.Peers && !j.movable()):
 		j.hold = now + 3*b.s.Tick
 		if !b.s.Probes {
 			j.hold = now + asking*b.s.Tick
 		}
 		b.schedule()
-		b.scout(j)
+		b.probeSome(j)
 		return
 	case b.s.Probes:
 		b.probeOne()
@@ -177,7 +177,7 @@
 		w.strikes = 0
 	}
 	lag := (b.now - a.sent).Seconds()
-	if b.crowd && !j.over {
+	if b.largeFleet && !j.over {
 		if late && b.chance(j, 0) < fair {
 			b.window *= 0.5 // as in congestion control
 		} else {
@@ -218,7 +218,7 @@
 	a.unreached = r.Status == StatusUnreachable
 	b.judge(j, a, r)
 	b.report(a.w, r.Report)
-	if b.crowd && a.started && r.Status == StatusOK && (a.w.sign != signMany || a.w.sureAt != now) {
+	if b.largeFleet && a.started && r.Status == StatusOK && (a.w.sign != signMany || a.w.sureAt != now) {
 		b.freed(a.w, signEnd) // the report is older than the slot that came free
 	}
 	switch {
@@ -268,7 +268,7 @@
 			b.hold(w, b.meanRun(), "refusals")
 		}
 	case StatusFull:
-		if b.crowd {
+		if b.largeFleet {
 			w.sure, w.sureAt, w.sign = -1, b.now, signNone
 		} else {
 			b.setSlots(w, min(w.slots, w.used))
@@ -287,7 +287,7 @@
 // once at most, and a lost zone must show by the first few.
 func (b *Balancer) lost(w *worker) {
 	b.hold(w, b.s.ConnectTimeout.Seconds(), "connections")
-	if b.crowd {
+	if b.largeFleet {
 		w.group.usual -= w.group.usual / 4
 		w.sure, w.sureAt, w.sign = 0, b.now, signNone
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -190,7 +190,7 @@
 
 func TestKeyedSpanEnds(t *testing.T) {
 	s := settings()
-	s.Classes[keyedCell].Aim = 20 * time.Second // so that it is not shed as hopeless
+	s.Classes[keyedCell].Aim = 20 * time.Second // so that it is not shed as minChance
 	b, r := fixture(t, s, 8)
 	request(b, time.Second, 1, keyedCell)
 	end(b, 1*time.Second+5*time.Second, r.last(), StatusReset)
@@ -316,7 +316,7 @@
 				}
 			}
 			budget := 3 * 2 * 4 * (0.3 + 0.7*(a.when-99)/10)
-			if fleet > crowded { // a crowd uses the slack that the rule allows for chance
+			if fleet > largeFleetAbove { // a large fleet uses the slack that the rule allows for chance
 				budget += 3*math.Sqrt(budget*bs[0].meanRun()) + 3*bs[0].meanRun()
 			}
 			if budget *= 0.75; sum > budget {
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -35,7 +35,7 @@
 	if b.s.Memory && b.estimate(w)-w.usedMem-w.otherMem < j.Memory {
 		return false
 	}
-	if b.crowd {
+	if b.largeFleet {
 		blind := b.stuckJobs < b.window && b.now >= j.hold // those asked have answered by now
 		blind = blind || b.isCold(w)                       // its room in our turn is ours
 		return b.estimate(w)-w.used >= j.Slots && (blind || w.sign != signNone && b.odds(w) >= 0.5)
@@ -43,9 +43,9 @@
 	return b.room(w) >= j.Slots
 }
 
-// lend hands the best sign of room to a dispatcher that asks for one. A sign is one slot, so
+// grantSlot hands the best sign of room to a dispatcher that asks for one. A sign is one slot, so
 // it is ours no more.
-func (b *Balancer) lend(to int) {
+func (b *Balancer) grantSlot(to int) {
 	var best *worker
 	for _, w := range b.fresh {
 		if w != nil && w.sign != signNone && b.open(w) && (best == nil || b.odds(w) > b.odds(best)) {
@@ -55,7 +55,7 @@
 	if best != nil && b.odds(best) >= 0.5 && len(b.queue) == 0 {
 		best.sure, best.sureAt, best.sign = 0, b.now, signNone
 		id := best.ID
-		b.host.Tell(to, []byte{lendMessage, byte(id >> 24), byte(id >> 16), byte(id >> 8), byte(id), 0})
+		b.host.Tell(to, []byte{slotMessage, byte(id >> 24), byte(id >> 16), byte(id >> 8), byte(id), 0})
 	}
 }
 
@@ -63,7 +63,7 @@
 // with fresh evidence, cold ones, and some by lot, so that many dispatchers that see
 // alike do not choose alike, and a choice costs the same in every fleet.
 func (b *Balancer) candidates() []*worker {
-	if !b.crowd || len(b.workers) <= looked {
+	if !b.largeFleet || len(b.workers) <= looked {
 		return b.workers
 	}
 	b.chosen = append(b.chosen[:0], b.ownTurns()...)
@@ -103,7 +103,7 @@
 		if w.Zone != b.s.Zone && w.Zone >= 0 {
 			cost += 2*b.lagOf(w) + crossing*b.s.CrossPrice*b.sizeOf(j)
 		}
-		if b.crowd {
+		if b.largeFleet {
 			cost += (1 - b.odds(w)) * b.meanRun()
 		} else if !free { // rather where a worker is taken for less than its weight tells
 			cost += b.meanRun() * min(1, b.estimate(w)/max(1, b.slotsByWeight*w.Weight))
@@ -191,10 +191,10 @@
 	}
 }
 
-// scout asks a few workers by lot about their room or, where they may not be asked, a few
+// probeSome asks a few workers by lot about their room or, where they may not be asked, a few
 // dispatchers for a sign of room, so that a job need not be sent blindly.
-func (b *Balancer) scout(j *job) {
-	for range min(len(b.workers), scouted) {
+func (b *Balancer) probeSome(j *job) {
+	for range min(len(b.workers), probesPerRequest) {
 		if !j.queued || len(b.queue) > 4 {
 			return
 		}
--- a/balance/coldstart.go
+++ b/balance/coldstart.go
@@ -35,7 +35,7 @@
 func (b *Balancer) coldBears(w *worker, age time.Duration, mean float64) float64 {
 	share := b.s.ColdFrom + (1-b.s.ColdFrom)*float64(max(0, age-b.s.FallSpan))/float64(b.s.WarmUp)
 	n := b.s.FallFactor * share * b.estimate(w) * b.s.FallSpan.Seconds()
-	if b.crowd {
+	if b.largeFleet {
 		return 0.53 * (n + 2*math.Sqrt(n*mean) + 2*mean)
 	}
 	return 0.7 * n
@@ -45,7 +45,7 @@
 // in its own first window: it may have forgotten what it sent.
 //
 // Among few one dispatcher at a time owns the whole budget, for three windows; in the first of
-// them the work of the last owner still counts, so nothing is sent. In a crowd one sees too
+// them the work of the last owner still counts, so nothing is sent. In a large fleet one sees too
 // little to fill it, and those that own none fill the old workers' queues: there, it has as
 // many parts as each still fits a usual job, with all sizes as the settings let them be guessed,
 // so that all dispatchers count alike. All parts but one have an owner, and with each window one
@@ -56,7 +56,7 @@
 		return 0
 	}
 	turn, owners, parts := 3*span, uint64(1), 1.0
-	if b.crowd {
+	if b.largeFleet {
 		usual := b.guess()
 		turn, parts = span, max(2, math.Floor(b.coldBears(w, age-age%span, usual)/usual))
 		parts = min(parts, float64(fleet+1)) // more than there are dispatchers would have no owner
--- a/balance/danger_test.go
+++ b/balance/danger_test.go
@@ -109,8 +109,8 @@
 	b, r := fixture(t, withPeers(), 1)
 	b.Peer(time.Second, 1, held(1, 1, 0))
 	request(b, time.Second, 1, safe)
-	pass(b, r, time.Second, time.Second+4*beat)
-	request(b, time.Second+4*beat, 2, safe)
+	pass(b, r, time.Second, time.Second+4*heartbeatInterval)
+	request(b, time.Second+4*heartbeatInterval, 2, safe)
 	if b.byID[1].peerHeld != 0 {
 		t.Fatal("a dead peer still holds a slot")
 	}
@@ -737,16 +737,16 @@
 	}
 }
 
-func crowdFixture(t *testing.T, workers int) (*Balancer, *recorder) {
+func largeFleetFixture(t *testing.T, workers int) (*Balancer, *recorder) {
 	t.Helper()
 	s := withPeers()
 	s.Fleet = 200
 	return fixture(t, s, workers)
 }
 
-// Messages to all cost the square of the dispatchers: a crowd says nothing.
-func TestACrowdSendsNoMessages(t *testing.T) {
-	b, r := crowdFixture(t, 4)
+// Messages to all cost the square of the dispatchers: a large fleet says nothing.
+func TestALargeFleetSendsNoMessages(t *testing.T) {
+	b, r := largeFleetFixture(t, 4)
 	request(b, time.Second, 1, safe)
 	pass(b, r, time.Second, 5*time.Second)
 	if len(r.told) > 0 {
@@ -755,7 +755,7 @@
 }
 
 // Dispatchers that see alike must not choose alike.
-func TestACrowdSpreads(t *testing.T) {
+func TestALargeFleetSpreads(t *testing.T) {
 	got := map[WorkerID]int{}
 	for seed := range 40 {
 		s := withPeers()
@@ -771,8 +771,8 @@
 }
 
 // A late start says that a worker is full now, not for ever.
-func TestACrowdForgetsFullWorkers(t *testing.T) {
-	b, r := crowdFixture(t, 1)
+func TestALargeFleetForgetsFullWorkers(t *testing.T) {
+	b, r := largeFleetFixture(t, 1)
 	request(b, time.Second, 1, unsafe)
 	pass(b, r, time.Second, 2*time.Second)
 	w := b.byID[1]
@@ -787,8 +787,8 @@
 
 // Unseen dispatchers fill the slots, so a safe job stands in several queues; the first
 // start wins and the others are withdrawn.
-func TestACrowdsJobWaitsAtSeveralWorkers(t *testing.T) {
-	b, r := crowdFixture(t, 8)
+func TestALargeFleetsJobWaitsAtSeveralWorkers(t *testing.T) {
+	b, r := largeFleetFixture(t, 8)
 	request(b, time.Second, 1, safe)
 	pass(b, r, time.Second, 1400*ms)
 	if r.sentTo(1) < 3 {
@@ -801,8 +801,8 @@
 }
 
 // A job that nobody has begun and that can no longer be in time only stands in others' way.
-func TestACrowdWithdrawsLateWaitingWork(t *testing.T) {
-	b, r := crowdFixture(t, 2)
+func TestALargeFleetWithdrawsLateWaitingWork(t *testing.T) {
+	b, r := largeFleetFixture(t, 2)
 	b.pace = 3 // no size is in time any more once the aim has passed
 	request(b, time.Second, 1, safe)
 	pass(b, r, time.Second, 3*time.Second)
@@ -812,8 +812,8 @@
 }
 
 // Where the own zone's workers are full others' are tried, as each zone's odds are its own.
-func TestACrowdLearnsToCross(t *testing.T) {
-	b, r := crowdFixture(t, 8)
+func TestALargeFleetLearnsToCross(t *testing.T) {
+	b, r := largeFleetFixture(t, 8)
 	b.byID[1].group.usual = 0.05
 	request(b, 20*time.Second, 1, safe)
 	if b.byID[r.last().to].Zone != 1 {
@@ -821,8 +821,8 @@
 	}
 }
 
-// Where workers tell of their room when asked, a crowd's job is sent on a worker's word.
-func TestACrowdAsksBeforeItSends(t *testing.T) {
+// Where workers tell of their room when asked, a large fleet's job is sent on a worker's word.
+func TestALargeFleetAsksBeforeItSends(t *testing.T) {
 	s := settings()
 	s.Fleet, s.Probes = 200, true
 	b, r := fixture(t, s, 40)
@@ -841,8 +841,8 @@
 
 // Each of many dispatchers meets a worker of a lost zone once at most: the first few losses
 // speak for the zone.
-func TestACrowdLeavesALostZone(t *testing.T) {
-	b, r := crowdFixture(t, 8)
+func TestALargeFleetLeavesALostZone(t *testing.T) {
+	b, r := largeFleetFixture(t, 8)
 	for i := range 4 {
 		b.lost(b.byID[WorkerID(i+1)])
 		b.byID[WorkerID(i+1)].held = 0
@@ -856,7 +856,7 @@
 // Late starts close the window on jobs that wait in workers' queues, or an overload would
 // stand there, out of reach of shedding.
 func TestLateStartsCloseTheWindow(t *testing.T) {
-	b, r := crowdFixture(t, 8)
+	b, r := largeFleetFixture(t, 8)
 	b.pace = 1.5
 	before := b.window
 	request(b, time.Second, 1, unsafe)
@@ -869,7 +869,7 @@
 
 // An attempt that failed at once must not hide the job's others, which still wait.
 func TestAFailedAttemptHidesNoWaitingOne(t *testing.T) {
-	b, r := crowdFixture(t, 8)
+	b, r := largeFleetFixture(t, 8)
 	b.pace = 3
 	request(b, time.Second, 1, safe)
 	b.s.MaxAttempts = 2
@@ -883,13 +883,13 @@
 
 // An unsafe job that waits in one worker's queue can go nowhere else: before it is sent
 // blindly a few dispatchers are asked for a sign of room, and one sign serves one job.
-func TestACrowdAsksForSignsOfRoom(t *testing.T) {
-	b, r := crowdFixture(t, 40)
+func TestALargeFleetAsksForSignsOfRoom(t *testing.T) {
+	b, r := largeFleetFixture(t, 40)
 	request(b, time.Second, 1, unsafe)
 	if len(r.sends) > 0 || len(r.told) == 0 || r.told[0][0] != askMessage {
 		t.Fatalf("sends %v, told %v", r.sends, r.told)
 	}
-	b.Peer(1010*ms, 7, []byte{lendMessage, 0, 0, 0, 9, 0})
+	b.Peer(1010*ms, 7, []byte{slotMessage, 0, 0, 0, 9, 0})
 	if len(r.sends) != 1 || r.last().to != 9 {
 		t.Fatalf("a sign of room at worker 9, sends %v", r.sends)
 	}
@@ -900,21 +900,21 @@
 	}
 }
 
-func TestACrowdLendsASignOnce(t *testing.T) {
-	b, r := crowdFixture(t, 40)
+func TestALargeFleetLendsASignOnce(t *testing.T) {
+	b, r := largeFleetFixture(t, 40)
 	request(b, time.Second, 1, safe)
 	start(b, 1004*ms, r.last())
 	end(b, 1500*ms, r.last(), StatusOK)
 	b.Peer(1510*ms, 3, []byte{askMessage})
 	b.Peer(1511*ms, 4, []byte{askMessage})
-	if len(r.told) != 1 || r.told[0][0] != lendMessage || WorkerID(r.told[0][4]) != r.last().to {
+	if len(r.told) != 1 || r.told[0][0] != slotMessage || WorkerID(r.told[0][4]) != r.last().to {
 		t.Fatalf("one slot came free, told %v", r.told)
 	}
 }
 
 // A report that comes with an end is older than the end, and still counts the job.
 func TestAnEndIsASignOfRoomWhateverTheReport(t *testing.T) {
-	b, r := crowdFixture(t, 40)
+	b, r := largeFleetFixture(t, 40)
 	request(b, time.Second, 1, safe)
 	start(b, 1004*ms, r.last())
 	full := NoReport()
@@ -931,7 +931,7 @@
 		window float64
 		want   string
 	}{{2, ""}, {0, "refused"}} {
-		b, r := crowdFixture(t, 2)
+		b, r := largeFleetFixture(t, 2)
 		request(b, time.Second, 1, safe)
 		b.window, b.pace = c.window, 1.5
 		pass(b, r, time.Second, 1700*ms)
@@ -943,7 +943,7 @@
 
 // A release makes most of a large fleet cold; a choice must not look at them all.
 func TestAChoiceCostsTheSameInEveryFleet(t *testing.T) {
-	b, _ := crowdFixture(t, 1)
+	b, _ := largeFleetFixture(t, 1)
 	var list []Member
 	for i := range 1000 {
 		list = append(list, Member{ID: WorkerID(i + 1), Weight: 1, Started: 100 * time.Second})
@@ -964,6 +964,6 @@
 		t.Fatalf("bound %v", got)
 	}
 	if b.lagOf(far) != far.lag {
-		t.Fatal("a group's lag outside a crowd")
+		t.Fatal("a group's lag outside a large fleet")
 	}
 }
--- a/balance/crowd_test.go
+++ b/balance/large_fleet_test.go
@@ -11,9 +11,9 @@
 	_ "tinroute.example/tinroute/internal/seeded"
 )
 
-// crowd returns n dispatchers that know a cold worker (1, started at 99 s) and a warm one (2),
+// newLargeFleet returns n dispatchers that know a cold worker (1, started at 99 s) and a warm one (2),
 // both of weight 3, as a large fleet's new and old workers.
-func crowd(t *testing.T, n int) ([]*Balancer, []*recorder) {
+func newLargeFleet(t *testing.T, n int) ([]*Balancer, []*recorder) {
 	t.Helper()
 	s := settings()
 	s.Fleet = n
@@ -36,9 +36,9 @@
 // A large fleet's new workers stood idle while its old ones queued: each cold worker's
 // budget was one dispatcher's of 80, and that one saw a job a second. The fleet together
 // must fill much of the budget, and never go past it.
-func TestCrowdFillsAColdWorkerWithinItsBudget(t *testing.T) {
+func TestLargeFleetFillsAColdWorkerWithinItsBudget(t *testing.T) {
 	const fleet = 80
-	bs, rs := crowd(t, fleet)
+	bs, rs := newLargeFleet(t, fleet)
 	type spent struct {
 		when, cost float64
 		by         int
@@ -95,7 +95,7 @@
 // once, with jobs of any sizes and with means learned apart: no window holds two thirds of what pushes
 // a cold worker over, so that no fall, with what those send that were not told of its start, is mostly
 // ours; and in none that is whole does most of the allowance have no owner.
-func TestCrowdKeepsEveryWindow(t *testing.T) {
+func TestLargeFleetKeepsEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := settings()
 		s.Fleet = rapid.SampledFrom([]int{20, 24, 25, 30, 80, 300, 324}).Draw(t, "fleet")
@@ -150,7 +150,7 @@
 			}
 			most = max(most, sum/over)
 		}
-		if s.Fleet > crowded && largest < 0.8 && most < 0.3 {
+		if s.Fleet > largeFleetAbove && largest < 0.8 && most < 0.3 {
 			t.Fatalf("all greedy, and at most %.2f of what pushes it over", most)
 		}
 	})
@@ -158,7 +158,7 @@
 
 // A worker whose allowance held more usual jobs than there are dispatchers was cut into parts that
 // no one could own: 25 dispatchers had 25 of 46. All parts but one have an owner.
-func TestCrowdOwnsAllPartsButOne(t *testing.T) {
+func TestLargeFleetOwnsAllPartsButOne(t *testing.T) {
 	for _, fleet := range []int{25, 80, 324} {
 		s := settings()
 		s.Fleet, s.ColdFrom = fleet, 0.9
@@ -181,8 +181,8 @@
 
 // One of many sees at most a job or two of its own at a worker; taken for the worker's
 // size, that made every worker one slot, and its cold budget a third of what it is.
-func TestCrowdTakesASizeFromTheList(t *testing.T) {
-	bs, rs := crowd(t, 80)
+func TestLargeFleetTakesASizeFromTheList(t *testing.T) {
+	bs, rs := newLargeFleet(t, 80)
 	b, r := bs[0], rs[0]
 	w := b.byID[2]
 	request(b, 100*time.Second, 1, safe)
@@ -202,10 +202,10 @@
 	}
 }
 
-// In a crowd others' jobs are ahead of some of ours at every worker. Where a start that
+// In a large fleet others' jobs are ahead of some of ours at every worker. Where a start that
 // took three least lags counted as late, every dispatcher copied jobs that merely queued
 // for tens of milliseconds, twice each, and all together filled every queue with copies.
-func TestACrowdDoesNotCopyAJobThatMerelyQueues(t *testing.T) {
+func TestALargeFleetDoesNotCopyAJobThatMerelyQueues(t *testing.T) {
 	for _, wait := range []time.Duration{40 * ms, 100 * ms, 200 * ms} {
 		s := settings()
 		s.Fleet = 80
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -73,7 +73,7 @@
 // of a kind not met yet, the others' mean by the stated weight.
 func (b *Balancer) estimate(w *worker) float64 {
 	switch k := b.kinds[w.Kind].slots; {
-	case b.crowd && !b.s.NoWeights && w.Weight >= 1:
+	case b.largeFleet && !b.s.NoWeights && w.Weight >= 1:
 		// One of many holds too few jobs at any worker to see its size: its own there are a
 		// floor, and took every worker for one slot. The list's weight tells the size.
 		return max(w.slots, math.Round(w.Weight))
@@ -91,7 +91,7 @@
 		return
 	}
 	w.slots = slots
-	if b.crowd && b.now < b.sizedAt { // a look at each of a large fleet, for every slot found, costs CPU
+	if b.largeFleet && b.now < b.sizedAt { // a look at each of a large fleet, for every slot found, costs CPU
 		return
 	}
 	b.sizedAt = b.now + time.Second
@@ -119,7 +119,7 @@
 	if r.FreeSlots < 0 {
 		return
 	}
-	if b.crowd {
+	if b.largeFleet {
 		switch {
 		case r.FreeSlots > 1.5:
 			b.freed(w, signMany)
@@ -235,16 +235,16 @@
 // fill every queue with copies.
 func (b *Balancer) startBound(a *attempt) time.Duration {
 	least := seconds(3*b.lagOf(a.w)) + 3*b.s.Tick
-	if b.crowd {
+	if b.largeFleet {
 		return max(least, time.Duration(float64(a.j.c.Aim)*0.5))
 	}
 	return least
 }
 
-// lagOf is the least lag of a worker's starts, in seconds; a crowd meets each worker too
+// lagOf is the least lag of a worker's starts, in seconds; a large fleet meets each worker too
 // seldom to know more than its group's.
 func (b *Balancer) lagOf(w *worker) float64 {
-	if b.crowd {
+	if b.largeFleet {
 		return w.group.lag
 	}
 	return w.lag
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -9,7 +9,7 @@
 	changeMessage
 	helloMessage
 	askMessage  // for a sign of room
-	lendMessage // a sign of room
+	slotMessage // a sign of room
 	entryLen    = 5
 )
 
@@ -37,14 +37,14 @@
 // tellPeers sends what changed in the slots held here, so that dispatchers do not
 // all take the same worker for idle. A message is five bytes a worker.
 func (b *Balancer) tellPeers() {
-	if !b.s.Peers || b.crowd || (len(b.dirty) == 0 || b.now < b.tellAt) && b.now < b.beatAt {
+	if !b.s.Peers || b.largeFleet || (len(b.dirty) == 0 || b.now < b.tellAt) && b.now < b.heartbeatAt {
 		return
 	}
 	// A message is paid for at each peer: with many of them changes gather.
 	b.tellAt = b.now + time.Duration(max(0, b.s.Fleet-4))*b.s.Tick
 	kind := byte(changeMessage)
-	if b.now >= b.beatAt {
-		b.beatAt = b.now + beat
+	if b.now >= b.heartbeatAt {
+		b.heartbeatAt = b.now + heartbeatInterval
 		kind = fullMessage
 		b.dirty = append(b.dirty[:0], b.workers...)
 		b.forgetSilent()
@@ -74,7 +74,7 @@
 // dead dispatcher holds nothing.
 func (b *Balancer) forgetSilent() {
 	for i, seen := range b.peerSeen {
-		if seen > 0 && b.now-seen > 3*beat {
+		if seen > 0 && b.now-seen > 3*heartbeatInterval {
 			b.peerSeen[i] = 0
 			for _, w := range b.workers {
 				w.setPeer(i, 0)
@@ -86,18 +86,18 @@
 // Peer takes a message from another dispatcher. A malformed one is dropped.
 func (b *Balancer) Peer(now time.Duration, from int, data []byte) {
 	b.now = now
-	if from < 0 || from >= b.s.Fleet || len(data) == 0 || len(data)%entryLen != 1 || data[0] == lendMessage && len(data) < entryLen {
+	if from < 0 || from >= b.s.Fleet || len(data) == 0 || len(data)%entryLen != 1 || data[0] == slotMessage && len(data) < entryLen {
 		return
 	}
 	b.peerSeen[from] = now
 	switch data[0] {
 	case askMessage:
-		b.lend(from)
+		b.grantSlot(from)
 		return
-	case lendMessage:
+	case slotMessage:
 		id := WorkerID(data[1])<<24 | WorkerID(data[2])<<16 | WorkerID(data[3])<<8 | WorkerID(data[4])
-		if w := b.byID[id]; w != nil && b.crowd {
-			b.freed(w, signLent)
+		if w := b.byID[id]; w != nil && b.largeFleet {
+			b.freed(w, signGranted)
 			b.schedule()
 		}
 		return
@@ -110,7 +110,7 @@
 		}
 	}
 	if data[0] == helloMessage {
-		b.beatAt = min(b.beatAt, now)
+		b.heartbeatAt = min(b.heartbeatAt, now)
 	}
 	for data = data[1:]; len(data) >= entryLen; data = data[entryLen:] {
 		id := WorkerID(data[0])<<24 | WorkerID(data[1])<<16 | WorkerID(data[2])<<8 | WorkerID(data[3])
@@ -118,7 +118,7 @@
 			w.setPeer(from, data[4])
 		}
 	}
-	if len(b.queue)+len(b.starting) > 0 || b.beatAt <= now {
+	if len(b.queue)+len(b.starting) > 0 || b.heartbeatAt <= now {
 		b.schedule()
 	}
 }
--- a/balance/records.go
+++ b/balance/records.go
@@ -56,11 +56,11 @@
 
 // The signs of room where most slots are in unseen hands.
 const (
-	signNone = iota
-	signEnd  // a job of ours ended there
-	signOne  // the worker tells of a free slot
-	signMany // ... of more
-	signLent // another dispatcher gave its sign
+	signNone    = iota
+	signEnd     // a job of ours ended there
+	signOne     // the worker tells of a free slot
+	signMany    // ... of more
+	signGranted // another dispatcher gave its sign
 	signs
 )
 
--- a/balance/repeats.go
+++ b/balance/repeats.go
@@ -86,7 +86,7 @@
 			b.stuckJobs++
 		}
 	}
-	bar := hopeless
+	bar := minChance
 	if b.window < 1 { // under overload a likely failure stands in the way of likelier ones
 		bar = fair
 	}
@@ -103,7 +103,7 @@
 		b.recall(a.j, a)
 		// A job that no copy of has begun, and that would now be late, only stands in
 		// the way of others in its workers' queues.
-		if j := a.j; b.crowd && !j.over && j.c.LateWorth == 0 &&
+		if j := a.j; b.largeFleet && !j.over && j.c.LateWorth == 0 &&
 			b.chance(j, 0) < bar && !j.begun() {
 			b.log("hopeless", "job %d withdrawn: it can hardly be in time", j.ID)
 			b.answer(j)
@@ -117,7 +117,7 @@
 // and jobs were passed from worker to worker without end.
 func (b *Balancer) full(w *worker) {
 	switch {
-	case b.crowd:
+	case b.largeFleet:
 		w.sure, w.sureAt, w.sign = 0, b.now, signNone
 	case b.s.Peers:
 		b.setSlots(w, min(b.estimate(w), w.running+w.peerRunning))
@@ -127,7 +127,7 @@
 }
 
 func (b *Balancer) recall(j *job, a *attempt) {
-	if j.over || j.out > 1 && !b.crowd || a != j.newest() ||
+	if j.over || j.out > 1 && !b.largeFleet || a != j.newest() ||
 		j.spent(b.s.MaxAttempts) || !b.s.Cancel {
 		return
 	}
@@ -137,7 +137,7 @@
 		b.stuckJobs-- // it waits already
 		if w := b.pick(j, false); w != nil && b.mayCopy() {
 			b.send(j, w)
-			if w := b.pick(j, false); w != nil && b.crowd && b.mayCopy() {
+			if w := b.pick(j, false); w != nil && b.largeFleet && b.mayCopy() {
 				b.send(j, w)
 			}
 		}
--- a/balance/schedule.go
+++ b/balance/schedule.go
@@ -81,7 +81,7 @@
 	b.kept = b.kept[:0]
 	for i := 0; i < min(len(b.queue), lookahead); {
 		j := b.queue[i]
-		if j.c.LateWorth == 0 && b.chance(j, 0) < hopeless {
+		if j.c.LateWorth == 0 && b.chance(j, 0) < minChance {
 			// Work that can no longer be in time would make the next late too.
 			b.log("hopeless", "job %d refused: it can no longer be in time", j.ID)
 			b.answer(j)
@@ -124,7 +124,7 @@
 		soon(b.tellAt)
 	}
 	if b.s.Peers && b.s.Progress == 0 && len(b.running) > 0 {
-		soon(b.beatAt + beat) // with no notes to wake it, long work would pass for a dead peer's
+		soon(b.heartbeatAt + heartbeatInterval) // long work would pass for a dead peer's
 	}
 	for _, j := range b.queue[:min(len(b.queue), lookahead)] {
 		soon(j.hold)
@@ -132,14 +132,14 @@
 	for _, a := range b.starting {
 		if !a.stuck {
 			soon(a.sent + b.startBound(a))
-		} else if b.crowd {
+		} else if b.largeFleet {
 			soon(b.now + seconds(b.meanRun()/8))
 		}
 	}
 	if len(b.queue) > 0 {
 		soon(b.now + seconds(b.meanRun()/8))
 		soon(b.nextTry)
-		if !b.crowd {
+		if !b.largeFleet {
 			for _, w := range b.workers {
 				soon(w.held)
 				soon(w.nextTry)
--- a/balance/state.go
+++ b/balance/state.go
@@ -61,7 +61,7 @@
 	askedAt       time.Duration
 	askAgain      time.Duration
 	askGap        time.Duration
-	beatAt        time.Duration
+	heartbeatAt   time.Duration
 	peerSeen      []time.Duration
 	dirty         []*worker
 	message       []byte
@@ -74,7 +74,7 @@
 	nextTry       time.Duration
 	telling       bool // the last message held something
 	learned       int
-	crowd         bool // most slots are in the hands of dispatchers that tell nothing
+	largeFleet    bool // most slots are in the hands of dispatchers that tell nothing
 	heldMost      time.Duration
 	turns         []*worker // cold workers in our turn; see ownTurns
 	turnsAt       time.Duration
--- a/cmd/conform/main.go
+++ b/cmd/conform/main.go
@@ -10,7 +10,7 @@
 	"os"
 	"time"
 
-	"tinroute.example/tinroute/internal/conform"
+	"tinroute.example/tinroute/internal/lab/conform"
 )
 
 func main() {
--- a/cmd/otlpview/main.go
+++ b/cmd/otlpview/main.go
@@ -13,7 +13,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"tinroute.example/tinroute/internal/collector"
+	"tinroute.example/tinroute/internal/lab/collector"
 )
 
 type receive struct {
--- a/cmd/tinroute/fleet_test.go
+++ b/cmd/tinroute/fleet_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"tinroute.example/tinroute/internal/fleet/ledger"
+	"tinroute.example/tinroute/internal/lab/load"
 	"tinroute.example/tinroute/internal/lab/rig"
-	"tinroute.example/tinroute/internal/load"
 )
 
 // newFleet starts a fleet of this program with a budget of 40 jobs a second, and waits until all of it is
--- a/cmd/tinroute/main_test.go
+++ b/cmd/tinroute/main_test.go
@@ -66,3 +66,32 @@
 	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, p.Wait())
 }
+
+// Told to end at any moment of its start, the program ends in order, or by the signal's own default
+// where it has not come to take it; it neither fails nor stays.
+func TestEarlyKills(t *testing.T) {
+	text, err := os.ReadFile("../../example/config.json")
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(file, []byte(strings.NewReplacer(`"example/hooks.star"`, "").Replace(string(text))), 0o600))
+	for delay := time.Duration(0); delay <= 120*time.Millisecond; delay += 15 * time.Millisecond {
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			p := exec.Command(os.Args[0])
+			p.Env = append(os.Environ(), "TINROUTE_TEST_MAIN=1", "LB_CONFIG="+file, "LB_LISTEN=127.0.0.1:0", "LB_DISCOVERY=127.0.0.1:1")
+			require.NoError(t, p.Start())
+			time.Sleep(delay)
+			require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+			ended := make(chan error, 1)
+			go func() { ended <- p.Wait() }()
+			select {
+			case <-ended:
+			case <-time.After(20 * time.Second):
+				_ = p.Process.Kill()
+				t.Fatal("the process stays")
+			}
+			status := p.ProcessState.Sys().(syscall.WaitStatus)
+			require.True(t, status.ExitStatus() == 0 || status.Signaled() && status.Signal() == syscall.SIGTERM, "%v", p.ProcessState)
+		})
+	}
+}
--- a/cmd/tinroute/telemetry_test.go
+++ b/cmd/tinroute/telemetry_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tinroute.example/tinroute/internal/collector"
+	"tinroute.example/tinroute/internal/lab/collector"
 )
 
 // cpu is the processor time that a process has used.
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -67,6 +67,7 @@
 		}
 		c.Leave(request)
 		time.Sleep(10 * time.Second)
+		synctest.Wait()
 		require.Equal(t, []Answer{{Verdict: Served, Result: []byte("r")}}, f.answers)
 		require.Len(t, f.started, 1)
 		require.Zero(t, c.Open())
@@ -82,12 +83,14 @@
 		submit(c, f)
 		first := f.started[0]
 		time.Sleep(time.Second) // no start is told: it is copied
+		synctest.Wait()
 		require.Len(t, f.started, 2)
 		c.post(func() {
 			host{c}.Cancel(1, 0)
 			host{c}.Send(1, first.Worker.ID, 0) // as a balancer might, were it wrong
 		})
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.Equal(t, []*Attempt{first}, f.cancelled)
 		require.Len(t, f.started, 2, "sent although the cancel is not settled")
 		require.Len(t, first.Request.attempts, 3)
@@ -112,6 +115,7 @@
 		c := NewClock()
 		require.Equal(t, time.Duration(time.Now().UnixNano()), c.Now())
 		time.Sleep(time.Hour)
+		synctest.Wait()
 		require.Equal(t, time.Duration(time.Now().UnixNano()), c.Now())
 	})
 	require.Equal(t, balance.WorkerID(0x5be2a07c), WorkerIDOf("s-5be2a07c"))
--- a/internal/cli/emulate.go
+++ b/internal/cli/emulate.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"tinroute.example/tinroute/internal/emulate"
+	"tinroute.example/tinroute/internal/lab/emulate"
 )
 
 type emulateWord struct {
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -18,8 +18,8 @@
 	"syscall"
 	"time"
 
-	"tinroute.example/tinroute/internal/compare"
-	"tinroute.example/tinroute/internal/experiment"
+	"tinroute.example/tinroute/internal/lab/compare"
+	"tinroute.example/tinroute/internal/lab/experiment"
 )
 
 type experimentWord struct {
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -14,7 +14,7 @@
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/internal/config"
-	"tinroute.example/tinroute/internal/load"
+	"tinroute.example/tinroute/internal/lab/load"
 )
 
 type loadWord struct {
--- a/internal/daemon/conform_test.go
+++ b/internal/daemon/conform_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tinroute.example/tinroute/internal/conform"
+	"tinroute.example/tinroute/internal/lab/conform"
 )
 
 // scripted hands the connections to its workers to a player, who answers on them.
--- a/internal/daemon/scenario_test.go
+++ b/internal/daemon/scenario_test.go
@@ -21,7 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tinroute.example/tinroute/internal/config"
-	"tinroute.example/tinroute/internal/conform"
+	"tinroute.example/tinroute/internal/lab/conform"
 )
 
 // The scenario language. The first line names the workers with their cells, and scripts. Each
@@ -39,7 +39,7 @@
 //	send table DOWN|UP         discovery turns calls away, or answers them again
 //	send dispatcher TERM       the daemon is told to end
 //	send dispatcher START      it is started again, once it has ended, with the store that it had
-//	send 1 PACKET ARGS ...     a Gearman client sends a packet, as internal/conform writes it
+//	send 1 PACKET ARGS ...     a Gearman client sends a packet, as internal/lab/conform writes it
 //	expect 1 PACKET ARGS ...   ... and is sent one
 //	send dispatcher HUP NAME [renamed]
 //	                           ... to read its files again, which name this discovery, or are "faulty",
--- a/internal/daemon/telemetry_test.go
+++ b/internal/daemon/telemetry_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tinroute.example/tinroute/internal/collector"
 	"tinroute.example/tinroute/internal/config"
+	"tinroute.example/tinroute/internal/lab/collector"
 )
 
 // heard is a stand-in collector on both transports, and what it was sent.
--- a/internal/gearman/workers.go
+++ b/internal/gearman/workers.go
@@ -96,7 +96,7 @@
 		if ctx.Err() != nil { // given up before anything was sent
 			return balance.StatusMoot, nil
 		}
-		r.say(t, "worker unreachable", err)
+		r.logAttempt(t, "worker unreachable", err)
 		return balance.StatusUnreachable, nil
 	}
 	keep := false
@@ -114,14 +114,14 @@
 	if err := j.sending(ctx, t); err != nil { // a stored job that is sent unwritten could be sent twice after a crash
 		keep = true
 		if ctx.Err() == nil {
-			r.say(t, "not sent", err)
+			r.logAttempt(t, "not sent", err)
 		}
 		return balance.StatusMoot, nil
 	}
 	t.Mark(dispatch.Connected)
 	data := Request(SubmitJob, j.function, j.unique, j.data)
 	if n, err := link.Write(conn, data); n < len(data) {
-		r.say(t, "request cut short", err)
+		r.logAttempt(t, "request cut short", err)
 		return balance.StatusUnreachable, nil
 	}
 	t.Mark(dispatch.Written)
@@ -141,7 +141,7 @@
 			if ctx.Err() != nil {
 				return balance.StatusCancelled, nil, false
 			}
-			r.say(t, "worker reset", err)
+			r.logAttempt(t, "worker reset", err)
 			return balance.StatusReset, nil, false
 		}
 		status, over, err := x.take(p)
@@ -164,7 +164,7 @@
 	}
 }
 
-func (r *Workers) say(t *dispatch.Attempt, what string, err error) {
+func (r *Workers) logAttempt(t *dispatch.Attempt, what string, err error) {
 	r.log.Info(what, "worker", t.Worker.Name, "id", t.Request.ID, "err", err)
 }
 
--- a/internal/compare/compare_test.go
+++ b/internal/lab/compare/compare_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"tinroute.example/tinroute/balance"
-	"tinroute.example/tinroute/internal/compare"
-	"tinroute.example/tinroute/internal/emulate"
+	"tinroute.example/tinroute/internal/lab/compare"
+	"tinroute.example/tinroute/internal/lab/emulate"
 )
 
 // Every comparison policy keeps the rules that it claims, of those the emulator's checker watches,
--- a/internal/emulate/model.go
+++ b/internal/lab/emulate/model.go
@@ -29,7 +29,7 @@
 	Failures    []Failure
 	WarmUp      time.Duration // of a fresh node, from ColdFrom of its speed to the whole
 	ColdFrom    float64
-	// Policy names a comparison policy of internal/compare that decides in place of tinroute's
+	// Policy names a comparison policy of internal/lab/compare that decides in place of tinroute's
 	// own, which decides where it is empty.
 	Policy string
 }
--- a/internal/emulate/play.go
+++ b/internal/lab/emulate/play.go
@@ -9,7 +9,7 @@
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
-	"tinroute.example/tinroute/internal/compare"
+	"tinroute.example/tinroute/internal/lab/compare"
 )
 
 // Result is what came of a scenario.
--- a/internal/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -16,8 +16,8 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"tinroute.example/tinroute/internal/compare"
-	"tinroute.example/tinroute/internal/emulate"
+	"tinroute.example/tinroute/internal/lab/compare"
+	"tinroute.example/tinroute/internal/lab/emulate"
 )
 
 // Own is the name of tinroute's own policy in results.
@@ -50,7 +50,7 @@
 // Plan is a matrix to play.
 type Plan struct {
 	Days        []Day
-	Policies    []string // Own and the names of internal/compare
+	Policies    []string // Own and the names of internal/lab/compare
 	Seeds       int      // 1 to Seeds
 	Nodes       int
 	Dispatchers int
--- a/internal/link/eviction.go
+++ b/internal/link/eviction.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// room waits until one more connection may be held. It is asked once that one is there, so
+// makeRoom waits until one more connection may be held. It is asked once that one is there, so
 // that none is closed for nothing.
-func (s *Server) room() {
+func (s *Server) makeRoom() {
 	for {
 		s.mu.Lock()
 		full := len(s.peers) >= s.Most
 		var least *Peer
 		if full { // only then: it looks at every connection
-			if least = s.least(time.Now()); least != nil {
+			if least = s.evictable(time.Now()); least != nil {
 				least.closing = true
 			}
 		}
@@ -31,16 +31,16 @@
 	}
 }
 
-// least is the connection that gives way next, or nil while none may be closed. Whether a
+// evictable is the connection that gives way next, or nil while none may be closed. Whether a
 // request waits unread on a connection takes a system call, so only the connections that would
 // be closed are asked, and only unreadLooks of them: asking every connection for each one that
 // came cost a millisecond of processor time at 300 connections, and a process that idle clients
 // had filled stood still for seconds.
-func (s *Server) least(now time.Time) *Peer {
+func (s *Server) evictable(now time.Time) *Peer {
 	flooded := s.flooded()
 	var unread [unreadLooks]*Peer
 	for i := range unread {
-		least := s.leastBut(unread[:i], flooded, now)
+		least := s.firstEvictable(unread[:i], flooded, now)
 		if least == nil || least.rank() == rankLeaving || !pending(least.Conn) {
 			return least
 		}
@@ -62,9 +62,9 @@
 	return unproven > 0 && unproven >= int(unprovenShare*float64(s.Most))
 }
 
-// leastBut is the first connection in the order of giving way that may be closed by now and is
+// firstEvictable is the first connection in the order of giving way that may be closed by now and is
 // none of those excepted, or nil.
-func (s *Server) leastBut(excepted []*Peer, flooded bool, now time.Time) (least *Peer) {
+func (s *Server) firstEvictable(excepted []*Peer, flooded bool, now time.Time) (least *Peer) {
 	for p := range s.peers {
 		if flooded && p.rank() > rankUnproven || least != nil && !p.before(least) {
 			continue
--- a/internal/link/limit_test.go
+++ b/internal/link/limit_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bufio"
 	"io"
 	"log/slog"
 	"net"
@@ -177,3 +178,46 @@
 	n.Peer.NotePartial(partial)
 	n.told <- struct{}{}
 }
+
+// A request that arrives in the very moment in which a resting connection is closed is either
+// answered, or never handed on: the client, which sees the close, sends it again.
+func TestARequestOnARestingConnectionAsItIsClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	handled := &atomic.Int64{}
+	s := &Server{Log: slog.New(slog.DiscardHandler), Most: 400, Handle: func(p *Peer) {
+		p.Prove()
+		_ = Read(p, &lines{}, func(m *string) bool {
+			p.Busy(1)
+			handled.Add(1)
+			_, err := io.WriteString(p, "answer "+*m+"\n")
+			p.Busy(-1)
+			return err == nil
+		})
+	}}
+	go func() { _ = s.Serve(listener) }()
+	defer func() { _ = listener.Close() }()
+	answered := int64(0)
+	for range 300 {
+		c, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		in := bufio.NewReader(c)
+		_, err = io.WriteString(c, "first\n")
+		require.NoError(t, err)
+		_, err = in.ReadString('\n')
+		require.NoError(t, err)
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			s.closeIdle(true)
+		}()
+		_, _ = io.WriteString(c, "second\n")
+		if answer, err := in.ReadString('\n'); err == nil {
+			require.Equal(t, "answer second\n", answer)
+			answered++
+		}
+		<-closed
+		_ = c.Close()
+	}
+	require.Equal(t, 300+answered, handled.Load(), "each request that was handed on is answered")
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -79,7 +79,7 @@
 			time.Sleep(lookAgain)
 			continue
 		}
-		s.room()
+		s.makeRoom()
 		now := time.Now()
 		p := &Peer{Conn: c, server: s, since: now, accepted: now}
 		s.mu.Lock()
--- a/internal/otlp/otlp_test.go
+++ b/internal/otlp/otlp_test.go
@@ -33,7 +33,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/protobuf/proto"
 
-	"tinroute.example/tinroute/internal/collector"
+	"tinroute.example/tinroute/internal/lab/collector"
 	"tinroute.example/tinroute/internal/spool"
 )
 
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -116,6 +116,7 @@
 	script func(call string) string
 	dials  int
 	onDial func(n int) error // before a connection comes up
+	late   time.Duration     // that a connection takes to come up
 	conns  []net.Conn
 }
 
@@ -129,7 +130,9 @@
 			return nil, err
 		}
 	}
-	if ctx.Err() != nil {
+	select {
+	case <-time.After(w.late):
+	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 	near, far := net.Pipe()
@@ -165,6 +168,17 @@
 		case "close":
 			_ = c.Close()
 			return
+		case "cut":
+			_, _ = io.WriteString(c, "HTTP/1.1 20")
+			_ = c.Close()
+			return
+		case "endless":
+			_, _ = io.WriteString(c, "HTTP/1.1 202 Accepted\r\n")
+			for {
+				if _, err := io.WriteString(c, "X-More: "+strings.Repeat("more ", 200)+"\r\n"); err != nil {
+					return
+				}
+			}
 		default:
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", answer)
 		}
@@ -356,3 +370,40 @@
 		require.True(t, known, "a result is a result")
 	})
 }
+
+// An answer that is cut, or has no end, tells nothing of the job, which may have run; its connection
+// carries nothing more.
+func TestACutOrEndlessAnswer(t *testing.T) {
+	for _, answer := range []string{"cut", "endless"} {
+		w := &worker{}
+		w.script = func(string) string {
+			if w.dials == 1 {
+				return answer
+			}
+			return "202 Accepted"
+		}
+		onStage(t, w, func(t *testing.T, s *stage) {
+			s.send()
+			require.Equal(t, []balance.Status{balance.StatusReset}, s.policy.statuses(), answer)
+			time.Sleep(time.Second)
+			s.send()
+			require.Equal(t, []string{"POST r1", "POST r1"}, w.calls(), answer)
+			require.Equal(t, 2, w.dials, answer)
+		})
+	}
+}
+
+// A connection that comes up after 1.5 s comes too late: the attempt ended as never run when the
+// settings' time was over, and not one byte is written.
+func TestALateConnection(t *testing.T) {
+	w := &worker{script: func(string) string { return "202 Accepted" }, late: 1500 * time.Millisecond}
+	onStage(t, w, func(t *testing.T, s *stage) {
+		s.send()
+		time.Sleep(250 * time.Millisecond)
+		synctest.Wait()
+		require.Equal(t, []balance.Status{balance.StatusUnreachable}, s.policy.statuses())
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		require.Empty(t, w.calls())
+	})
+}
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -25,7 +25,7 @@
 
 // discovery is a stand-in discovery on a pipe: it answers each call by the next of its
 // answers, as status and body, and keeps the paths asked for. The answer "silent" is none, "held"
-// an empty change when the call's wait is over, "reset" a close, "spoilt" no list.
+// an empty change when the call's wait is over, "reset" a close, "spoilt" no list, "pieces" an indented list in pieces.
 type discovery struct {
 	mu      sync.Mutex
 	answers []string // "200 {...}" or "503"
@@ -67,6 +67,17 @@
 			return
 		case "spoilt":
 			answer = "200 nonsense"
+		case "pieces":
+			text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(indented), indented)
+			for len(text) > 0 {
+				n := min(7, len(text))
+				if _, err := io.WriteString(c, text[:n]); err != nil {
+					return
+				}
+				text = text[n:]
+				time.Sleep(time.Millisecond)
+			}
+			continue
 		case "held":
 			ms, _ := strconv.Atoi(req.URL.Query().Get("wait_ms"))
 			time.Sleep(time.Duration(ms) * time.Millisecond)
@@ -137,6 +148,29 @@
 
 const whole = `200 {"version":0,"full":true,"servers":[{"id":"s-1","addr":"10.1.0.1:5000","state":"SERVING","weight":1}]}`
 
+const indented = `{
+  "version": 7,
+  "full": true,
+  "servers": [
+    {
+      "id": "s-1",
+      "addr": "10.1.0.1:5000",
+      "state": "SERVING",
+      "weight": 1.0
+    }
+  ]
+}
+`
+
+// A list may come indented, and in pieces.
+func TestDiscoveryTakesAnIndentedListInPieces(t *testing.T) {
+	d := &discovery{answers: []string{"pieces", "held", "held"}}
+	play(t, d, 3*time.Second)
+	paths := d.asked()
+	require.GreaterOrEqual(t, len(paths), 2)
+	require.Contains(t, paths[1], "after=7&")
+}
+
 // waits are the waits, in ms, of the watches among the calls.
 func (d *discovery) waits() (ms []int) {
 	for _, p := range d.asked() {
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -99,7 +99,7 @@
 	data := q.encode(c.attempt.Remaining(), c.attempt.Trace)
 	if n, err := link.Write(conn, data); n < len(data) {
 		_ = conn.Close()
-		r.say(c, "request cut short", err)
+		r.logAttempt(c, "request cut short", err)
 		r.end(c, balance.StatusUnreachable, nil)
 		return
 	}
@@ -116,7 +116,7 @@
 			}
 			return
 		}
-		r.say(c, "worker reset", err)
+		r.logAttempt(c, "worker reset", err)
 		r.end(c, balance.StatusReset, nil)
 		return
 	}
@@ -135,7 +135,7 @@
 	case errors.Is(err, link.ErrHeld): // the worker has no room for us: nothing was sent
 		r.end(c, balance.StatusFull, nil)
 	default:
-		r.say(c, "worker unreachable", err)
+		r.logAttempt(c, "worker unreachable", err)
 		r.end(c, balance.StatusUnreachable, nil)
 	}
 	return nil
@@ -195,7 +195,7 @@
 	r.pool.Put(conn)
 }
 
-func (r *Workers) say(c *call, what string, err error) {
+func (r *Workers) logAttempt(c *call, what string, err error) {
 	r.log.Info(what, "worker", c.attempt.Worker.Name, "id", c.attempt.Request.ID, "err", err)
 }
 
@@ -254,7 +254,7 @@
 	err := r.exchange(ctx, addr, text)
 	for try := 1; err != nil && !errors.Is(err, syscall.ECONNREFUSED); try++ {
 		if try == deleteTries || !pause(ctx, deleteAgain) {
-			r.say(c, "cancel unanswered", err)
+			r.logAttempt(c, "cancel unanswered", err)
 			r.forget(c)
 			return
 		}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -14,8 +14,8 @@
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
-	"tinroute.example/tinroute/internal/collector"
 	"tinroute.example/tinroute/internal/config"
+	"tinroute.example/tinroute/internal/lab/collector"
 	"tinroute.example/tinroute/internal/otlp"
 	"tinroute.example/tinroute/internal/tailsampling"
 )
