--- a/dispatch/override_test.go
+++ b/dispatch/override_test.go
@@ -54,15 +54,6 @@
 	return to
 }
 
-// finishAll ends every attempt that is out, and counts those that follow anew.
-func finishAll(c *Core, f *fleet) {
-	out := f.started
-	c.post(func() { f.started = nil })
-	for _, attempt := range out {
-		c.Ended(attempt, balance.StatusOK, []byte("r"))
-	}
-}
-
 // From the turn after a detach nothing new goes to the worker, whatever the table says of it
 // later, until it is attached; then it is as cold as a worker that has just started.
 func TestHandBanHoldsUntilAttach(t *testing.T) {
@@ -80,7 +71,10 @@
 
 		// The table names it serving again, and whole: the ban holds.
 		c.UpdateMembers(balance.ListFull, regionsOf(2))
-		finishAll(c, f)
+		for _, attempt := range f.started {
+			c.Ended(attempt, balance.StatusOK, []byte("r"))
+		}
+		f.started = nil
 		synctest.Wait()
 		submitN(c, f, 100, 20)
 		require.Zero(t, sentTo(f.started)["a"], "the table's word lifted the ban")
@@ -89,7 +83,10 @@
 		require.NoError(t, err)
 		require.Equal(t, gen, again, "a repeated detach changes nothing")
 
-		finishAll(c, f)
+		for _, attempt := range f.started {
+			c.Ended(attempt, balance.StatusOK, []byte("r"))
+		}
+		f.started = nil
 		back := time.Now()
 		_, err = book.Attach("a")
 		require.NoError(t, err)
--- a/internal/fleet/quorum/disk.go
+++ b/internal/fleet/quorum/disk.go
@@ -82,6 +82,17 @@
 	return fmt.Errorf("%w: %w", ErrDamaged, err)
 }
 
+// newRaft starts raft on a log. Raft panics over a log whose first entries are missing, and no snapshot
+// covers them: that is a damaged folder, and must not end the process.
+func newRaft(c *raft.Config, f raft.FSM, d *disk, snaps raft.SnapshotStore, t raft.Transport) (r *raft.Raft, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			r, err = nil, damaged(fmt.Errorf("raft: %v", p))
+		}
+	}()
+	return raft.NewRaft(c, f, d, d, snaps, t)
+}
+
 // guard turns a fault or a panic on the mapped file into an error.
 func guard(err *error) func() {
 	was := debug.SetPanicOnFault(true)
--- a/internal/fleet/quorum/disk_test.go
+++ b/internal/fleet/quorum/disk_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	boltdb "github.com/hashicorp/raft-boltdb/v2"
 	"github.com/stretchr/testify/require"
 
 	"tinroute.example/tinroute/internal/fleet/ledger"
@@ -85,6 +86,21 @@
 	t.Logf("%d of 60 turned down", turned)
 }
 
+// A log whose first entries are missing, and no snapshot has them, ended the process: raft panics over it
+// as it starts.
+func TestALogThatBeginsLateIsDamaged(t *testing.T) {
+	v := one(t)
+	d, err := openDisk(boltdb.Options{Path: filepath.Join(v.dir, "n0", "log.db")}, make(chan struct{}))
+	require.NoError(t, err)
+	first, err := d.FirstIndex()
+	require.NoError(t, err)
+	require.NoError(t, d.DeleteRange(first, first+1))
+	require.NoError(t, d.close())
+	require.NoError(t, os.RemoveAll(filepath.Join(v.dir, "n0", "snapshots")))
+	_, err = v.try("n0", false)
+	require.ErrorIs(t, err, ErrDamaged)
+}
+
 // A folder of another generation is turned down by name, before its log is handed to the library.
 func TestAFolderOfAnotherGeneration(t *testing.T) {
 	v := one(t)
--- a/internal/fleet/quorum/quorum.go
+++ b/internal/fleet/quorum/quorum.go
@@ -173,7 +173,7 @@
 		}
 	}
 	v.store.runs.Store(true)
-	if v.raft, err = raft.NewRaft(c, v.fsm, v.store, v.store, snaps, v.trans); err != nil {
+	if v.raft, err = newRaft(c, v.fsm, v.store, snaps, v.trans); err != nil {
 		return v, err
 	}
 	o.Log.Info("voter", "name", o.Name, "fleet", o.Fleet.Fleet, "anew", !had)
