--- a/review/_standin/gearman.go
+++ b/review/_standin/gearman.go
@@ -227,7 +227,7 @@
 				if action == "fail" {
 					_, err = conn.Write(packet("RES", workFail, handle))
 				} else {
-					_, err = conn.Write(packet("RES", workComplete, handle, "result of "+args[2]))
+					_, err = conn.Write(packet("RES", workComplete, handle, "result of "+args[1]+" "+args[2]))
 				}
 				if err != nil {
 					return
--- a/review/_standin/gearmancase.go
+++ b/review/_standin/gearmancase.go
@@ -221,22 +221,33 @@
 	exit(0)
 }
 
-// resubmit: a job is submitted again, right after its end.
+// resubmit: a job is submitted again, with new data, right after its end; every second time in the foreground.
 func resubmit(b *bench) {
 	s := startGearmanSite(b, agadirSettings, []string{"agadir", "marrakech", "casablanca"}, 3, "large-fast", "",
 		func(*gearmanSite, server, string, string, string) (string, time.Duration) {
 			return "run", 300 * time.Millisecond
 		})
 	s.startDispatcher()
-	var wg sync.WaitGroup
 	type second struct {
-		unique string
-		at     time.Time
-		handle string
+		unique, handle string
+		at             time.Time
 	}
+	var wg sync.WaitGroup
 	var mu sync.Mutex
-	var seconds []second
-	for i := range 40 {
+	var seconds []second // accepted in the background
+	foreground, wrong := 0, 0
+	// result waits for the final answer to a foreground job.
+	result := func(c *gearmanClient, unique string) gearmanPacket {
+		for {
+			p, err := c.next(20 * time.Second)
+			cannotRun(err)
+			if p.kind != jobCreated {
+				b.note("client: %s, final answer %d %q", unique, p.kind, p.args)
+				return p
+			}
+		}
+	}
+	for i := range 60 {
 		wg.Go(func() {
 			unique := fmt.Sprintf("read-%d", i)
 			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
@@ -247,19 +258,25 @@
 			handle, err := submitBG(background, "price-read", unique, "first")
 			cannotRun(err)
 			cannotRun(waiting.submit(submitJob, "price-read", unique, "first"))
-			for {
-				p, err := waiting.next(20 * time.Second)
-				cannotRun(err)
-				if p.kind == workComplete {
-					b.note("client: %s (%s) was told the result of its job", unique, p.args[0])
-					break
-				}
-				require(p.kind == jobCreated, "%s: packet %d", unique, p.kind)
+			if p := result(waiting, unique); p.kind != workComplete {
+				return
 			}
 			if !b.trouble {
 				time.Sleep(time.Second)
 			}
 			at := time.Now()
+			if i%2 == 1 {
+				cannotRun(waiting.submit(submitJob, "price-read", unique, "second"))
+				p := result(waiting, unique)
+				mu.Lock()
+				defer mu.Unlock()
+				foreground++
+				if p.kind == workComplete && p.args[1] != "result of "+unique+" second" {
+					wrong++
+					b.note("BROKEN: %s was submitted again with new data after its first job had ended, and got %q", unique, p.args[1])
+				}
+				return
+			}
 			again, err := submitBG(background, "price-read", unique, "second")
 			if err != nil {
 				b.note("client: %s was not accepted again: %v", unique, err)
@@ -267,15 +284,14 @@
 			}
 			b.note("client: %s accepted again as %s, first as %s", unique, again, handle)
 			mu.Lock()
-			seconds = append(seconds, second{unique, at, again})
-			mu.Unlock()
+			defer mu.Unlock()
+			seconds = append(seconds, second{unique, again, at})
 		})
 	}
 	wg.Wait()
 	require(s.idle(60*time.Second), "jobs remain open")
 	time.Sleep(2 * time.Second)
 	require(s.idle(60*time.Second), "jobs remain open")
-	b.keepLog("dispatcher")
 	dead := s.dead()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -290,8 +306,9 @@
 			b.note("BROKEN: %s was accepted again as %s after its first job had ended, and never ran", a.unique, a.handle)
 		}
 	}
-	b.note("%d submissions accepted after the end, %d of them never ran, dead letters %v", len(seconds), lost, dead)
-	if lost > 0 {
+	b.note("after the end: %d accepted in the background, %d of them never ran; %d in the foreground, %d of them got the old data's result; dead letters %v",
+		len(seconds), lost, foreground, wrong, dead)
+	if lost+wrong > 0 {
 		exit(1)
 	}
 	exit(0)
