review: more jobs in the lost zone of case 1, so that it fails surely

From a fresh clone case 1 failed with 1 job applied twice and 2 of its 3 jobs rightly unknown. It has 150 jobs now and waits for 5 in the zone; the check is unchanged.

--- a/review/_standin/gearmancase.go
+++ b/review/_standin/gearmancase.go
@@ -145,7 +145,7 @@
 	c, err := dialGearman(s.listen)
 	cannotRun(err)
 	accepted := 0
-	for i := range 60 {
+	for i := range 150 {
 		handle, err := submitBG(c, "price-fix", fmt.Sprintf("fix-%d", i), "correction")
 		cannotRun(err)
 		accepted++
@@ -162,7 +162,7 @@
 		}
 		return n
 	}
-	found := waitFor(20*time.Second, func() bool { return running() >= 3 })
+	found := waitFor(20*time.Second, func() bool { return running() >= 5 })
 	require(found, "too few jobs ran in %s", lostZone)
 	if b.trouble {
 		for _, w := range s.servers {
