--- a/internal/background/loop.go
+++ b/internal/background/loop.go
@@ -147,9 +147,20 @@
 	s.pacer.Offered(now)
 	s.counts.Offered++
 	s.mu.Unlock()
+	s.logOffer(job.stored, decision.PriorAttempt)
 	s.server.Offer(job.stored, decision.PriorAttempt)
 }
 
+// logOffer logs an offer and, if it is restricted, the earlier attempt that restricts it.
+func (s *Scheduler) logOffer(stored *jobstore.StoredJob, prior *balance.PriorAttempt) {
+	if prior == nil {
+		s.opts.Log.Debug("background job offered to all workers", "handle", stored.Job.Handle, "offers", stored.State.Offers)
+		return
+	}
+	s.opts.Log.Debug("background job offered to the workers that drop its repeat", "handle", stored.Job.Handle,
+		"offers", stored.State.Offers, "zone", prior.Zone, "cell", prior.Cell, "age", prior.Age)
+}
+
 // promote offers a job now if it is stored and due.
 func (s *Scheduler) promote(p promotion, draining bool) {
 	id := p.id
--- a/internal/background/send_records.go
+++ b/internal/background/send_records.go
@@ -51,15 +51,19 @@
 func (s *Scheduler) RetractSend(id uint64) {
 	s.mu.Lock()
 	job := s.active[id]
-	retract := false
+	retract, retracted := false, jobstore.Send{}
 	if job != nil && job.stored.State.FirstSend != nil {
 		class := s.server.Class(job.stored.Job.Function)
 		if retract = class != nil && class.Idempotency != balance.Idempotent; retract {
+			retracted = *job.stored.State.FirstSend
 			retractLastSend(job.stored.State)
+			retract = job.stored.State.FirstSend == nil
 		}
 	}
 	s.mu.Unlock()
 	if retract {
+		s.opts.Log.Debug("record of a send retracted", "handle", job.stored.Job.Handle, "worker", retracted.WorkerName,
+			"attempt", retracted.Attempt, "sent", s.Now()-retracted.At)
 		s.opts.Store.UpdateState(id, retractLastSend, nil)
 	}
 }
