Retract only the record of the attempt that never ran

Cause: job.attemptEnded and Scheduler.RetractSend took the latest record of a send for that of the attempt which had just ended. An attempt is recorded only once it has a connection, so the outcome of one that could not connect removed the record of the attempt before it, which may have run. The planner then found no such send and offered the job to all workers. The same happened after a restart, and by reading with an attempt of an earlier offer that ends late.

Change: RecordSend returns its record, and RetractSend takes that record and removes no other; one place (jobstore.State) numbers, adds and retracts sends, for stored and for foreground jobs. A stored state with a last send and no first one is from an older program and may have lost it: its last send counts as one that may have run.

--- a/cmd/tinroute/crash_test.go
+++ b/cmd/tinroute/crash_test.go
@@ -79,7 +79,7 @@
 }
 
 // TestCrash repeatedly kills the real program at random times, while background jobs are submitted,
-// sent and finished and the job store is compacted, and restarts it. No job whose JOB_CREATED was read
+// sent and finished, the job store is compacted and job servers die and come back, and restarts it. No job whose JOB_CREATED was read
 // may be lost, and no job may be repeated where its class forbids it. TINROUTE_KILLS sets the number of
 // kills and TINROUTE_SEED the seed of their times.
 func TestCrash(t *testing.T) {
@@ -148,6 +148,19 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 	})
+	outages := rand.New(rand.NewPCG(seed, 3))
+	clients.Go(func() { // one job server at a time dies, and comes back within or after the dedup window of its cell
+		for !stopped() {
+			time.Sleep(time.Duration(50+outages.IntN(200)) * time.Millisecond)
+			server := env.jobServers[outages.IntN(len(env.jobServers))]
+			server.stop()
+			time.Sleep(time.Duration(100+outages.IntN(900)) * time.Millisecond)
+			if err := server.start(); err != nil {
+				t.Error(err)
+				return
+			}
+		}
+	})
 	cmd := env.startProgram()
 	for range kills {
 		if conn := env.dialGearman(); conn != nil {
--- a/cmd/tinroute/environment_test.go
+++ b/cmd/tinroute/environment_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,6 +26,53 @@
 	gearmanAddr, storeFile             string   // address of the Gearman listener, and path of the job store
 	configFile, gearmanConfig, logFile string   // paths of the other files
 	extraEnv                           []string // added to the program's environment
+	jobServers                         []*jobServer
+}
+
+// jobServer is one of the job servers. It can be stopped and started again at the same address.
+type jobServer struct {
+	addr  string
+	serve func(net.Conn)
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    []net.Conn // accepted since the start
+}
+
+// start listens and serves until stop is called.
+func (s *jobServer) start() error {
+	listener, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, conn)
+			s.mu.Unlock()
+			go s.serve(conn)
+		}
+	}()
+	return nil
+}
+
+// stop resets the connections and refuses new ones, as when the process dies.
+func (s *jobServer) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.listener.Close()
+	for _, conn := range s.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	s.conns = nil
 }
 
 // newTestEnv starts the discovery server and the job servers, which pass each connection to serve with the
@@ -37,19 +85,14 @@
 		return l
 	}
 	var servers []string
+	var jobServers []*jobServer
 	for i := range 4 {
-		l := listen()
+		server := &jobServer{addr: freeAddr(t), serve: func(conn net.Conn) { serve(i, conn) }}
+		require.NoError(t, server.start())
+		t.Cleanup(server.stop)
+		jobServers = append(jobServers, server)
 		servers = append(servers, fmt.Sprintf(`{"id":"s-0000000%d","addr":%q,"zone":%q,"kind":"large","cell":%d,"state":"SERVING","weight":1}`,
-			i, l.Addr(), "ab"[i/2:i/2+1], i))
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go serve(i, c)
-			}
-		}()
+			i, server.addr, "ab"[i/2:i/2+1], i))
 	}
 	discoveryListener := listen()
 	go func() {
@@ -64,7 +107,7 @@
 		}))
 	}()
 	dir := t.TempDir()
-	env := &testEnv{t: t, gearmanAddr: freeAddr(t), storeFile: filepath.Join(dir, "jobs"), configFile: filepath.Join(dir, "config.json"),
+	env := &testEnv{t: t, jobServers: jobServers, gearmanAddr: freeAddr(t), storeFile: filepath.Join(dir, "jobs"), configFile: filepath.Join(dir, "config.json"),
 		gearmanConfig: filepath.Join(dir, "gearman.toml"), logFile: filepath.Join(dir, "log")}
 	write := func(path, text string) { require.NoError(t, os.WriteFile(path, []byte(text), 0o600)) }
 	write(env.configFile, strings.ReplaceAll(settings, "DISCOVERY", discoveryListener.Addr().String()))
--- a/internal/background/scheduler_test.go
+++ b/internal/background/scheduler_test.go
@@ -22,6 +22,7 @@
 type fakeServer struct {
 	mu           sync.Mutex
 	offers       []uint64
+	priors       []*balance.PriorAttempt // of each offer
 	deadLettered map[uint64]string
 	withdrawn    []uint64
 	notFound     []string
@@ -32,8 +33,11 @@
 	defer server.mu.Unlock()
 	g()
 }
-func (server *fakeServer) Offer(stored *jobstore.StoredJob, _ *balance.PriorAttempt) {
-	server.locked(func() { server.offers = append(server.offers, stored.Job.ID) })
+func (server *fakeServer) Offer(stored *jobstore.StoredJob, prior *balance.PriorAttempt) {
+	server.locked(func() {
+		server.offers = append(server.offers, stored.Job.ID)
+		server.priors = append(server.priors, prior)
+	})
 }
 func (server *fakeServer) Withdraw(stored *jobstore.StoredJob) {
 	server.locked(func() { server.withdrawn = append(server.withdrawn, stored.Job.ID) })
@@ -58,15 +62,21 @@
 type fixture struct {
 	*Scheduler
 	server    *fakeServer
+	stop      func() // stops the scheduler and closes its store
 	diskFull  atomic.Bool
 	wallClock atomic.Int64
 }
 
 func newFixture(t *testing.T) *fixture {
+	return newFixtureAt(t, filepath.Join(t.TempDir(), "jobs"))
+}
+
+// newFixtureAt returns a fixture whose store is the given file.
+func newFixtureAt(t *testing.T, path string) *fixture {
 	fx := &fixture{server: &fakeServer{deadLettered: map[uint64]string{}}}
 	fx.wallClock.Store(time.Now().UnixNano())
 	clock := dispatch.NewClock()
-	store, err := jobstore.Open(jobstore.Options{Path: filepath.Join(t.TempDir(), "jobs"), Now: clock.Now, BeforeCommit: func() error {
+	store, err := jobstore.Open(jobstore.Options{Path: path, Now: clock.Now, BeforeCommit: func() error {
 		if fx.diskFull.Load() {
 			return errDisk
 		}
@@ -78,7 +88,8 @@
 		PacerLimits: recovery.PacerLimits{MaxWindow: 8, MaxUnsent: 8}}, fx.server)
 	ctx, stop := context.WithCancel(t.Context())
 	go fx.Run(ctx)
-	t.Cleanup(func() { stop(); fx.Wait(); require.NoError(t, store.Close()) })
+	fx.stop = sync.OnceFunc(func() { stop(); fx.Wait(); require.NoError(t, store.Close()) })
+	t.Cleanup(fx.stop)
 	return fx
 }
 
@@ -94,6 +105,11 @@
 	return id
 }
 
+func (fx *fixture) recordSend(t *testing.T, id uint64, send jobstore.Send) error {
+	_, err := fx.RecordSend(t.Context(), id, send)
+	return err
+}
+
 func eventually(t *testing.T, what string, f func() bool) {
 	t.Helper()
 	require.Eventually(t, f, 10*time.Second, time.Millisecond, what)
@@ -107,10 +123,10 @@
 	id := fx.accept(t, time.Time{})
 	eventually(t, "offered", func() bool { return fx.server.offerCount() == 1 })
 	fx.diskFull.Store(true)
-	require.ErrorIs(t, fx.RecordSend(t.Context(), id, jobstore.Send{WorkerName: "a", At: fx.Now()}), errDisk)
+	require.ErrorIs(t, fx.recordSend(t, id, jobstore.Send{WorkerName: "a", At: fx.Now()}), errDisk)
 	require.ErrorIs(t, fx.Admit(1), jobstore.ErrUnavailable, "new jobs are rejected at once")
 	fx.diskFull.Store(false)
-	require.NoError(t, fx.RecordSend(t.Context(), id, jobstore.Send{WorkerName: "a", At: fx.Now()}))
+	require.NoError(t, fx.recordSend(t, id, jobstore.Send{WorkerName: "a", At: fx.Now()}))
 	fx.diskFull.Store(true)
 	fx.OfferEnded(id, recovery.OutcomeServed, 0)
 	time.Sleep(3 * writeRetryInterval / 2)
@@ -161,7 +177,7 @@
 	require.NoError(t, fx.Cancel("h1"))
 	require.ErrorIs(t, fx.Cancel("h1"), jobstore.ErrNotFound)
 	fx.OfferEnded(id, recovery.OutcomeServed, 0)
-	require.ErrorIs(t, fx.RecordSend(t.Context(), id, jobstore.Send{}), jobstore.ErrNotFound, "a cancelled job must not be sent")
+	require.ErrorIs(t, fx.recordSend(t, id, jobstore.Send{}), jobstore.ErrNotFound, "a cancelled job must not be sent")
 	require.Zero(t, fx.Store().Counts().Jobs)
 }
 
@@ -170,12 +186,12 @@
 	fx := newFixture(t)
 	served, offered := fx.accept(t, time.Time{}), fx.accept(t, time.Time{})
 	eventually(t, "one offered", func() bool { return fx.server.offerCount() == 1 }) // the window begins at one
-	require.NoError(t, fx.RecordSend(t.Context(), served, jobstore.Send{WorkerName: "a"}))
+	require.NoError(t, fx.recordSend(t, served, jobstore.Send{WorkerName: "a"}))
 	fx.OfferEnded(served, recovery.OutcomeServed, 0)
 	eventually(t, "the other offered", func() bool { return fx.server.offerCount() == 2 })
 	fx.Drain()
 	fx.server.locked(func() { require.Equal(t, []uint64{offered}, fx.server.withdrawn) })
-	require.ErrorIs(t, fx.RecordSend(t.Context(), offered, jobstore.Send{WorkerName: "a"}), ErrDraining)
+	require.ErrorIs(t, fx.recordSend(t, offered, jobstore.Send{WorkerName: "a"}), ErrDraining)
 	fx.accept(t, time.Time{})
 	time.Sleep(100 * time.Millisecond)
 	require.Equal(t, 2, fx.server.offerCount())
--- a/internal/background/send_records.go
+++ b/internal/background/send_records.go
@@ -7,70 +7,52 @@
 	"tinroute.example/tinroute/internal/jobstore"
 )
 
-// RecordSend records an attempt that is about to be sent, and blocks until the record is on disk.
-// After an error the attempt must not be sent.
-func (s *Scheduler) RecordSend(ctx context.Context, id uint64, send jobstore.Send) error {
+// RecordSend records an attempt that is about to be sent, and blocks until the record is on disk. After an error
+// the attempt must not be sent. It returns the record for RetractSend; it is the zero Send if nothing was
+// recorded.
+func (s *Scheduler) RecordSend(ctx context.Context, id uint64, send jobstore.Send) (jobstore.Send, error) {
 	s.mu.Lock()
 	job := s.active[id]
 	switch {
 	case job == nil || job.finished:
 		s.mu.Unlock()
-		return jobstore.ErrNotFound
+		return jobstore.Send{}, jobstore.ErrNotFound
 	case s.draining && !job.sent:
 		s.mu.Unlock()
-		return ErrDraining
+		return jobstore.Send{}, ErrDraining
 	}
-	addSend(job.stored.State, send)
+	send = job.stored.State.NumberSend(send)
+	job.stored.State.AddSend(send)
 	if !job.sent {
 		job.sent = true
 		s.pacer.Sent()
 	}
 	s.mu.Unlock()
 	written := make(chan error, 1)
-	s.opts.Store.UpdateState(id, func(state *jobstore.State) { addSend(state, send) }, func(err error) { written <- err })
+	s.opts.Store.UpdateState(id, func(state *jobstore.State) { state.AddSend(send) }, func(err error) { written <- err })
 	select {
 	case err := <-written:
-		return err
+		return send, err
 	case <-ctx.Done(): // the record may still be written, which does no harm: it only says that the job may have run
-		return ctx.Err()
+		return send, ctx.Err()
 	}
 }
 
-// addSend adds a send to a job's state.
-func addSend(state *jobstore.State, send jobstore.Send) {
-	state.Sends++
-	send.Attempt = state.Sends
-	if state.FirstSend == nil {
-		state.FirstSend = &send
-	}
-	state.LastSend = &send
-}
-
-// RetractSend retracts the record of a send whose outcome proves that it did not run. It retracts
-// the latest send: a job whose class is not idempotent has only one attempt at a time.
-func (s *Scheduler) RetractSend(id uint64) {
+// RetractSend retracts a record that RecordSend returned, after the outcome of its attempt has proved that the
+// job did not run.
+func (s *Scheduler) RetractSend(id uint64, send jobstore.Send) {
 	s.mu.Lock()
 	job := s.active[id]
-	retract, retracted := false, jobstore.Send{}
-	if job != nil && job.stored.State.FirstSend != nil {
+	retracted := false
+	if job != nil {
 		class := s.server.Class(job.stored.Job.Function)
-		if retract = class != nil && class.Idempotency != balance.Idempotent; retract {
-			retracted = *job.stored.State.FirstSend
-			retractLastSend(job.stored.State)
-			retract = job.stored.State.FirstSend == nil
-		}
+		retracted = class != nil && class.Idempotency != balance.Idempotent && job.stored.State.RetractSend(send)
 	}
 	s.mu.Unlock()
-	if retract {
-		s.opts.Log.Debug("record of a send retracted", "handle", job.stored.Job.Handle, "worker", retracted.WorkerName,
-			"attempt", retracted.Attempt, "sent", s.Now()-retracted.At)
-		s.opts.Store.UpdateState(id, retractLastSend, nil)
-	}
-}
-
-// retractLastSend removes the first send from a job's state if it is also the latest.
-func retractLastSend(state *jobstore.State) {
-	if state.FirstSend != nil && state.LastSend != nil && state.FirstSend.Attempt == state.LastSend.Attempt {
-		state.FirstSend = nil
+	if !retracted {
+		return
 	}
+	s.opts.Log.Debug("record of a send retracted", "handle", job.stored.Job.Handle, "worker", send.WorkerName,
+		"attempt", send.Attempt, "sent", s.Now()-send.At)
+	s.opts.Store.UpdateState(id, func(state *jobstore.State) { state.RetractSend(send) }, nil)
 }
--- a/internal/gearman/job.go
+++ b/internal/gearman/job.go
@@ -24,52 +24,54 @@
 	storeCallbacks                 []func(error)          // called after the pending write to the job store; nil if none is pending
 
 	mu        sync.Mutex
-	storeID   uint64 // ID in the job store, 0 if the job is not stored
-	sends     int
-	firstSend *jobstore.Send // the earliest send that may have run, or nil
-	lastSend  *jobstore.Send
-	startedAt time.Time // when the current request started
-	sent      bool      // the current request has been sent to a worker
-	exception []byte    // data of a worker's WORK_EXCEPTION, or nil
+	storeID   uint64         // ID in the job store, 0 if the job is not stored
+	sends     jobstore.State // the sends made while the job was not stored; the scheduler records all later ones
+	startedAt time.Time      // when the current request started
+	sent      bool           // the current request has been sent to a worker
+	exception []byte         // data of a worker's WORK_EXCEPTION, or nil
+}
+
+// sendRecord identifies the record of one attempt. Several attempts of a job may be in progress, also of its
+// earlier requests, so an outcome may change the record of its own attempt only.
+type sendRecord struct {
+	storeID uint64 // the job's ID in the store when the record was made, 0 if it was not stored
+	send    jobstore.Send
 }
 
 // recordSend records an attempt before it is sent; after an error it must not be sent. The record
 // of a stored job is on disk when recordSend returns.
-func (j *job) recordSend(ctx context.Context, attempt *dispatch.Attempt) error {
-	j.mu.Lock()
-	id := j.storeID
+func (j *job) recordSend(ctx context.Context, attempt *dispatch.Attempt) (sendRecord, error) {
 	send := jobstore.Send{WorkerName: attempt.Worker.Name, WorkerID: attempt.Worker.ID,
 		Zone: attempt.Worker.Zone, Cell: attempt.Worker.Cell}
-	if scheduler := j.server.scheduler; scheduler != nil {
+	scheduler := j.server.scheduler
+	if scheduler != nil {
 		send.At = scheduler.Now()
 	}
-	j.sends++
-	send.Attempt = j.sends
-	if j.firstSend == nil {
-		j.firstSend = &send
+	j.mu.Lock()
+	id := j.storeID
+	if id == 0 {
+		send = j.sends.NumberSend(send)
+		j.sends.AddSend(send)
 	}
-	j.lastSend = &send
 	j.mu.Unlock()
 	if id == 0 {
-		return nil
+		return sendRecord{send: send}, nil
 	}
-	return j.server.scheduler.RecordSend(ctx, id, send)
+	send, err := scheduler.RecordSend(ctx, id, send)
+	return sendRecord{storeID: id, send: send}, err
 }
 
-// attemptEnded handles the outcome of an attempt. If the attempt provably did not run, its record is
-// retracted.
-func (j *job) attemptEnded(status balance.Status) {
-	if !status.NeverRan() {
-		return
-	}
-	j.mu.Lock()
-	id := j.storeID
-	if j.firstSend != nil && j.firstSend.Attempt == j.lastSend.Attempt {
-		j.firstSend = nil
+// retractSend retracts the record of an attempt that provably did not run.
+func (j *job) retractSend(record sendRecord) {
+	id := record.storeID
+	if id == 0 {
+		j.mu.Lock()
+		j.sends.RetractSend(record.send)
+		id = j.storeID // the job may have been stored since, with this record
+		j.mu.Unlock()
 	}
-	j.mu.Unlock()
 	if id != 0 {
-		j.server.scheduler.RetractSend(id)
+		j.server.scheduler.RetractSend(id, record.send)
 	}
 }
 
@@ -78,7 +80,8 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.storeID = id
-	return &jobstore.State{Sends: j.sends, FirstSend: j.firstSend, LastSend: j.lastSend}
+	state := j.sends
+	return &state
 }
 
 func (j *job) currentStoreID() uint64 {
--- a/internal/gearman/workers.go
+++ b/internal/gearman/workers.go
@@ -71,7 +71,6 @@
 		w.mu.Lock()
 		delete(w.attempts, attempt)
 		w.mu.Unlock()
-		attempt.Request.Payload.(*job).attemptEnded(status)
 		w.core.AttemptEnded(attempt, status, result)
 	}()
 }
@@ -111,24 +110,37 @@
 		reusable = true
 		return balance.StatusNotSent, nil
 	}
-	if err := j.recordSend(ctx, attempt); err != nil { // without the record on disk a stored job could be sent twice after a crash
+	record, err := j.recordSend(ctx, attempt)
+	if err != nil { // without the record on disk a stored job could be sent twice after a crash
 		reusable = true
 		if ctx.Err() == nil {
 			w.logAttempt(attempt, "attempt not sent, since it was not recorded in the job store", err)
 		}
+		j.retractSend(record)
 		return balance.StatusNotSent, nil
 	}
+	var status balance.Status
+	var result []byte
+	status, result, reusable = w.sendAndReceive(ctx, attempt, conn)
+	if status.NeverRan() {
+		j.retractSend(record)
+	}
+	return status, result
+}
+
+// sendAndReceive sends a recorded attempt's job on a connection and receives its result. The result reusable reports
+// whether the connection may carry another job.
+func (w *Workers) sendAndReceive(ctx context.Context, attempt *dispatch.Attempt,
+	conn *link.PoolConn[Packet]) (status balance.Status, result []byte, reusable bool) {
 	attempt.RecordEvent(dispatch.Connected)
+	j := attempt.Request.Payload.(*job)
 	data := Request(SubmitJob, j.function, j.unique, j.data)
 	if n, err := link.WriteWithTimeout(conn, data); n < len(data) {
 		w.logAttempt(attempt, "request not fully sent; the attempt did not run", err)
-		return balance.StatusUnreachable, nil
+		return balance.StatusUnreachable, nil, false
 	}
 	attempt.RecordEvent(dispatch.Written)
-	var status balance.Status
-	var result []byte
-	status, result, reusable = w.receive(ctx, attempt, conn)
-	return status, result
+	return w.receive(ctx, attempt, conn)
 }
 
 // receive reads the job server's packets up to the end of the job. The result reusable reports
--- a/internal/jobstore/record.go
+++ b/internal/jobstore/record.go
@@ -62,7 +62,7 @@
 	Offers         int           // offers to the dispatcher that have ended
 	Sends          int
 	FirstSend      *Send         // the earliest send that may have run, nil if there is none
-	LastSend       *Send         // the latest send
+	LastSend       *Send         // the latest send, nil if FirstSend is
 	DeadReason     string        // set for dead letters only
 	DeadSince      time.Duration // Unix time
 	// ReleasedAt is when an operator released the job from the dead letters, 0 if none did. The
@@ -253,5 +253,6 @@
 	if d.truncated {
 		return nil, 0, errors.New("fields cut short")
 	}
+	state.restoreFirstSend()
 	return state, size, nil
 }
