Do not run a job again that may have run and could not be stored

Callers: a foreground job of a class that is not idempotent is also submitted in the background; while that write is pending its attempt ends as a reset, and another client joins it. If the write failed, the job was run again for that client, at any worker, though it may have run already.

Cause: Server.jobStored submitted a new request without looking at the record of sends that the job holds.

Change: if the job may have run and its class is not idempotent, its waiting clients get WORK_FAIL and nothing is sent.

Test: gearman TestJobThatCannotBeStoredIsNotRepeated failed before (the job was sent again) and passes now.

--- a/internal/gearman/background.go
+++ b/internal/gearman/background.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/dispatch"
 	"tinroute.example/tinroute/internal/jobstore"
 )
@@ -82,6 +83,9 @@
 	case j.entry.WaitingSubmissions == 0: // only the submitters know of it: drop it
 		s.index.Close(j.entry)
 		request, j.request = j.request, nil
+	case j.request == nil && s.repeatCouldHarm(j): // without the store, another request of it could go to any worker
+		s.failWaiters(j, reasonMayHaveRun)
+		s.index.Close(j.entry)
 	default: // clients wait for it: it becomes a foreground job again
 		s.index.SetBackground(j.entry, false)
 		j.mu.Lock()
@@ -108,6 +112,16 @@
 	}
 }
 
+// reasonMayHaveRun is the reason sent to clients that wait for a job which may have run and cannot be stored.
+const reasonMayHaveRun = "it may have run, and it could not be stored"
+
+// repeatCouldHarm reports whether a job that is not stored may have run and its class is not idempotent.
+func (s *Server) repeatCouldHarm(j *job) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.sends.FirstSend != nil && s.classes[j.function].Idempotency != balance.Idempotent
+}
+
 // closeIfIdle removes a stored job from the index while no client waits for it and it is not
 // offered, so that a million stored jobs are not held in memory. s.mu must be held.
 func (s *Server) closeIfIdle(j *job) {
