Check the dedup window again once a repeat is recorded on disk

Callers saw nothing: a stored job of a deduplicated class could be repeated after its dedup window, and run twice.

Cause: the policy allows a repeat within the window and leaves room for a late connection; the attempt then waits without a bound until its record is on disk.

Change: the scheduler checks the window after the write, at the only place from which a stored job is sent; a late repeat is not sent and ends as one that never ran. First sends and other classes are not affected.

Test: background TestRepeatIsNotSentAfterSlowRecord failed before (no error for a repeat recorded 0.3 s later in a window of 0.2 s) and passes now.

--- a/internal/background/scheduler.go
+++ b/internal/background/scheduler.go
@@ -29,6 +29,10 @@
 // stays in the store for the next process.
 var ErrDraining = errors.New("the dispatcher is draining")
 
+// ErrDedupWindowOver is returned for a repeat whose record reached the disk only after the deduplication window of
+// the job's first send that may have run.
+var ErrDedupWindowOver = errors.New("the dedup window ended while the attempt was being recorded")
+
 // JobServer submits stored jobs to the dispatcher. Its methods are called on the goroutine of Run,
 // except for Withdraw, which Drain calls.
 type JobServer interface {
--- a/internal/background/scheduler_test.go
+++ b/internal/background/scheduler_test.go
@@ -26,6 +26,7 @@
 	deadLettered map[uint64]string
 	withdrawn    []uint64
 	notFound     []string
+	dedupWindow  time.Duration
 }
 
 func (server *fakeServer) locked(g func()) {
@@ -49,7 +50,9 @@
 	server.locked(func() { server.notFound = append(server.notFound, handle) })
 }
 func (server *fakeServer) Class(string) *balance.Class {
-	return &balance.Class{Name: "f", Idempotency: balance.Deduplicated, DedupScope: balance.ScopeCell, DedupWindow: time.Minute}
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	return &balance.Class{Name: "f", Idempotency: balance.Deduplicated, DedupScope: balance.ScopeCell, DedupWindow: server.dedupWindow}
 }
 func (server *fakeServer) offerCount() int {
 	server.mu.Lock()
@@ -64,6 +67,7 @@
 	server    *fakeServer
 	stop      func() // stops the scheduler and closes its store
 	diskFull  atomic.Bool
+	diskDelay atomic.Int64 // nanoseconds that each commit takes
 	wallClock atomic.Int64
 }
 
@@ -73,10 +77,11 @@
 
 // newFixtureAt returns a fixture whose store is the given file.
 func newFixtureAt(t *testing.T, path string) *fixture {
-	fx := &fixture{server: &fakeServer{deadLettered: map[uint64]string{}}}
+	fx := &fixture{server: &fakeServer{deadLettered: map[uint64]string{}, dedupWindow: time.Minute}}
 	fx.wallClock.Store(time.Now().UnixNano())
 	clock := dispatch.NewClock()
 	store, err := jobstore.Open(jobstore.Options{Path: path, Now: clock.Now, BeforeCommit: func() error {
+		time.Sleep(time.Duration(fx.diskDelay.Load()))
 		if fx.diskFull.Load() {
 			return errDisk
 		}
--- a/internal/background/send_records.go
+++ b/internal/background/send_records.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"tinroute.example/tinroute/balance"
 	"tinroute.example/tinroute/internal/jobstore"
 )
 
+// sendMargin is subtracted from the deduplication window for the time between the check and the arrival at the
+// worker.
+const sendMargin = 10 * time.Millisecond
+
 // RecordSend records an attempt that is about to be sent, and blocks until the record is on disk. After an error
 // the attempt must not be sent. It returns the record for RetractSend; it is the zero Send if nothing was
 // recorded.
@@ -32,12 +37,27 @@
 	s.opts.Store.UpdateState(id, func(state *jobstore.State) { state.AddSend(send) }, func(err error) { written <- err })
 	select {
 	case err := <-written:
+		if err == nil && s.repeatIsLate(job, send) {
+			err = ErrDedupWindowOver
+		}
 		return send, err
 	case <-ctx.Done(): // the record may still be written, which does no harm: it only says that the job may have run
 		return send, ctx.Err()
 	}
 }
 
+// repeatIsLate reports whether a recorded send would repeat a deduplicated job outside the deduplication window.
+func (s *Scheduler) repeatIsLate(job *activeJob, send jobstore.Send) bool {
+	class := s.server.Class(job.stored.Job.Function)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := job.stored.State.FirstSend
+	if class == nil || class.Idempotency != balance.Deduplicated || first == nil || *first == send {
+		return false
+	}
+	return s.Now() >= first.At+class.DedupWindow-sendMargin
+}
+
 // RetractSend retracts a record that RecordSend returned, after the outcome of its attempt has proved that the
 // job did not run.
 func (s *Scheduler) RetractSend(id uint64, send jobstore.Send) {
--- a/internal/background/send_records_test.go
+++ b/internal/background/send_records_test.go
@@ -66,3 +66,19 @@
 	fx.OfferEnded(id, recovery.OutcomeRefused, 0)
 	fx.expectPrior(t, 2, nil)
 }
+
+// Guards against a second run after a slow write to disk: the policy allows a repeat within the deduplication window,
+// and the record of the repeat may reach the disk only after it.
+func TestRepeatIsNotSentAfterSlowRecord(t *testing.T) {
+	fx := newFixture(t)
+	fx.server.locked(func() { fx.server.dedupWindow = 200 * time.Millisecond })
+	id := fx.accept(t, time.Time{})
+	fx.expectPrior(t, 1, nil)
+	require.NoError(t, fx.recordSend(t, id, jobstore.Send{WorkerName: "a", Cell: 2, At: fx.Now()}))
+	fx.diskDelay.Store(int64(300 * time.Millisecond))
+	require.ErrorIs(t, fx.recordSend(t, id, jobstore.Send{WorkerName: "b", Cell: 2, At: fx.Now()}), ErrDedupWindowOver)
+	fx.OfferEnded(id, recovery.OutcomeServed, 0)
+	other := fx.accept(t, time.Time{})
+	fx.expectPrior(t, 2, nil)
+	require.NoError(t, fx.recordSend(t, other, jobstore.Send{WorkerName: "a", Cell: 2, At: fx.Now()}), "a first send repeats nothing")
+}
