Check for drains again once a stored job's attempt is on disk

Callers: a background job could go to a worker whose drain the dispatcher had already learned of.

Cause: the Gearman driver checks the last list before the first byte, but for a stored job it did so before the wait for the record of the attempt to reach the disk, which has no bound.

Change: the driver checks again after the write; the attempt ends as one that never ran and its record is retracted.

--- a/internal/gearman/background_test.go
+++ b/internal/gearman/background_test.go
@@ -83,36 +83,73 @@
 	return v
 }
 
-// Guards against a second run of a job that may have run: when a foreground job could not be stored, clients that
-// had joined it meanwhile made it run again at any worker.
-func TestJobThatCannotBeStoredIsNotRepeated(t *testing.T) {
-	commits := make(chan error)
-	store, err := jobstore.Open(jobstore.Options{Path: filepath.Join(t.TempDir(), "jobs"), Now: dispatch.NewClock().Now,
-		BeforeCommit: func() error { return <-commits }})
+// storeFixture is a server with a job store whose commits the test lets pass, over loopback TCP.
+type storeFixture struct {
+	core    *dispatch.Core
+	server  *Server
+	addr    string
+	began   chan struct{} // signals the begin of each commit
+	commits chan error    // the result of each commit
+}
+
+func newStoreFixture(t *testing.T, newDriver func(*dispatch.Core) dispatch.Driver, members ...dispatch.Worker) *storeFixture {
+	fx := &storeFixture{began: make(chan struct{}, 64), commits: make(chan error)}
+	clock := dispatch.NewClock()
+	store, err := jobstore.Open(jobstore.Options{Path: filepath.Join(t.TempDir(), "jobs"), Now: clock.Now,
+		BeforeCommit: func() error {
+			fx.began <- struct{}{}
+			return <-fx.commits
+		}})
 	require.NoError(t, err)
-	core, err := dispatch.New(dispatch.Options{Settings: balance.Settings{FleetSize: 1, WorkerKinds: 1, MaxAttempts: 3,
+	fx.core, err = dispatch.New(dispatch.Options{Settings: balance.Settings{FleetSize: 1, WorkerKinds: 1, MaxAttempts: 1,
 		ConnectTimeout: time.Second, ColdCapacity: 1, Tick: time.Millisecond,
-		Classes: []balance.Class{{Name: "fix", Target: time.Second, Deadline: 10 * time.Second, Worth: 1, Idempotency: balance.NonIdempotent, WorkerKind: -1}}},
+		Classes: []balance.Class{{Name: "fix", Target: time.Second, Deadline: 10 * time.Second, Worth: 1, WorkerKind: -1,
+			Idempotency: balance.Deduplicated, DedupScope: balance.ScopeCell, DedupWindow: time.Minute}}},
 		Observers: []dispatch.Observer{NewSendObserver()}})
 	require.NoError(t, err)
-	driver := &recordingDriver{sent: make(chan *dispatch.Attempt, 4)}
-	core.Connect(driver, staticDiscovery{})
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	go core.Run(ctx)
-	core.UpdateMembers(balance.UpdateFull, []dispatch.Worker{{Member: balance.Member{ID: 1, Weight: 1}, Name: "a"}, {Member: balance.Member{ID: 2, Weight: 1}, Name: "b"}})
-	server := NewServer(core, Options{Log: slog.New(slog.DiscardHandler), DispatcherName: "n0", MaxConnections: 10,
+	fx.core.Connect(newDriver(fx.core), staticDiscovery{})
+	fx.server = NewServer(fx.core, Options{Log: slog.New(slog.DiscardHandler), DispatcherName: "n0", MaxConnections: 10,
 		Config: &config.Gearman{Functions: map[string]config.FunctionDefaults{"fix": {Tenant: -1, Deadline: 10 * time.Second}},
 			Limits: jobindex.Limits{PerClient: 4, PerFunction: map[string]int{}}},
 		NewScheduler: func(jobServer background.JobServer) *background.Scheduler {
-			return background.New(background.Options{Store: store, Clock: dispatch.NewClock(), RetryLimits: recovery.Limits{MaxOffers: 3, MaxSends: 10}}, jobServer)
+			return background.New(background.Options{Store: store, Clock: clock, RetryLimits: recovery.Limits{MaxOffers: 3, MaxSends: 10},
+				PacerLimits: recovery.PacerLimits{MaxWindow: 8, MaxUnsent: 8}}, jobServer)
 		}})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	go func() { _ = server.Serve(listener) }()
-	addr := listener.Addr().String()
+	fx.addr = listener.Addr().String()
+	ctx, stop := context.WithCancel(context.Background())
+	go fx.core.Run(ctx)
+	go fx.server.scheduler.Run(ctx)
+	go func() { _ = fx.server.Serve(listener) }()
+	t.Cleanup(func() {
+		close(fx.commits) // all further commits succeed
+		stop()
+		fx.server.scheduler.Wait()
+		_ = listener.Close()
+		require.NoError(t, store.Close())
+	})
+	fx.core.UpdateMembers(balance.UpdateFull, members)
+	return fx
+}
 
+// commit ends the next commit with the given result.
+func (fx *storeFixture) commit(t *testing.T, result error) {
+	t.Helper()
+	select {
+	case fx.commits <- result:
+	case <-time.After(10 * time.Second):
+		require.FailNow(t, "no commit")
+	}
+}
+
+// Guards against a second run of a job that may have run: when a foreground job could not be stored, clients that
+// had joined it meanwhile made it run again at any worker.
+func TestJobThatCannotBeStoredIsNotRepeated(t *testing.T) {
+	driver := &recordingDriver{sent: make(chan *dispatch.Attempt, 4)}
+	fx := newStoreFixture(t, func(*dispatch.Core) dispatch.Driver { return driver },
+		dispatch.Worker{Member: balance.Member{ID: 1, Cell: 1, Weight: 1}, Name: "a"}, dispatch.Worker{Member: balance.Member{ID: 2, Cell: 2, Weight: 1}, Name: "b"})
+	addr, server := fx.addr, fx.server
 	first, storing, joined := newPacketClient(t, addr), newPacketClient(t, addr), newPacketClient(t, addr)
 	first.submit(SubmitJob)
 	first.expect(JobCreated)
@@ -123,11 +160,11 @@
 		defer server.mu.Unlock()
 		return server.index.ByKey("fix", "u").Background
 	}, 10*time.Second, time.Millisecond, "its write to the store is pending")
-	core.AttemptEnded(attempt, balance.StatusReset, nil)
+	fx.core.AttemptEnded(attempt, balance.StatusReset, nil)
 	first.expect(WorkFail)
 	joined.submit(SubmitJob)
 	joined.expect(JobCreated)
-	commits <- errors.New("no space left on device")
+	fx.commit(t, errors.New("no space left on device"))
 	storing.expect(Error)
 	select {
 	case <-driver.sent:
@@ -135,6 +172,45 @@
 	case p := <-joined.packets:
 		require.Equal(t, WorkFail, p.Type, "%q", p.Body)
 	}
-	close(commits)
-	require.NoError(t, store.Close())
+}
+
+// Guards against sends to a draining worker: the drain may become known while the attempt waits for its record to
+// reach the disk.
+func TestDrainDuringSlowRecordStopsAttempt(t *testing.T) {
+	workerListener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = workerListener.Close() }()
+	received := make(chan struct{}, 1)
+	go func() {
+		conn, err := workerListener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if n, _ := conn.Read(make([]byte, 1)); n > 0 {
+			received <- struct{}{}
+		}
+	}()
+	worker := dispatch.Worker{Member: balance.Member{ID: 1, Weight: 1}, Name: "a", Addr: workerListener.Addr().String()}
+	var driver *Workers
+	fx := newStoreFixture(t, func(core *dispatch.Core) dispatch.Driver {
+		driver = NewWorkers(core, slog.New(slog.DiscardHandler), new(net.Dialer).DialContext, 10)
+		return driver
+	}, worker)
+	client := newPacketClient(t, fx.addr)
+	client.submit(SubmitJobBG)
+	fx.commit(t, nil) // the job is stored
+	client.expect(JobCreated)
+	receive(t, fx.began)
+	receive(t, fx.began) // the record of its first attempt is being written
+	worker.State = balance.Draining
+	fx.core.UpdateMembers(balance.UpdateFull, []dispatch.Worker{worker})
+	require.Eventually(t, func() bool { return len(driver.Serving()) == 0 }, 10*time.Second, time.Millisecond)
+	fx.commit(t, nil)
+	select {
+	case <-received:
+		require.Fail(t, "the worker got the job while draining")
+	case <-fx.began: // the record is being retracted
+	}
+	require.Empty(t, received, "the worker got the job while draining")
 }
--- a/internal/gearman/workers.go
+++ b/internal/gearman/workers.go
@@ -104,16 +104,17 @@
 			_ = conn.Close()
 		}
 	}()
-	if ctx.Err() != nil || !w.serving.Accepts(attempt.Worker.ID) { // cancelled, or the worker began to drain after it was chosen
+	if !w.maySend(ctx, attempt) {
 		reusable = true
 		return balance.StatusNotSent, nil
 	}
 	record, err := j.recordSend(ctx, attempt)
-	if err != nil { // without the record on disk a stored job could be sent twice after a crash
+	if err != nil && ctx.Err() == nil {
+		w.logAttempt(attempt, "attempt not sent, since it was not recorded in the job store", err)
+	}
+	// Without the record on disk a stored job could be sent twice after a crash. The write may also have taken long.
+	if err != nil || !w.maySend(ctx, attempt) {
 		reusable = true
-		if ctx.Err() == nil {
-			w.logAttempt(attempt, "attempt not sent, since it was not recorded in the job store", err)
-		}
 		j.retractSend(record)
 		return balance.StatusNotSent, nil
 	}
@@ -125,6 +126,12 @@
 	return status, result
 }
 
+// maySend reports whether an attempt may be sent: it has not been cancelled, and its worker has not begun to drain
+// since it was chosen.
+func (w *Workers) maySend(ctx context.Context, attempt *dispatch.Attempt) bool {
+	return ctx.Err() == nil && w.serving.Accepts(attempt.Worker.ID)
+}
+
 // sendAndReceive sends a recorded attempt's job on a connection and receives its result. The result reusable reports
 // whether the connection may carry another job.
 func (w *Workers) sendAndReceive(ctx context.Context, attempt *dispatch.Attempt,
