Leave room for a held-up process when the dedup window is checked after the write

A process may be held up for 0.15 s between reading its clock and writing; the check left 10 ms. A repeat whose record reaches the disk in the last 0.15 s of the window is not sent now. The tests of internal/background pass.

--- a/internal/background/send_records.go
+++ b/internal/background/send_records.go
@@ -8,9 +8,9 @@
 	"tinroute.example/tinroute/internal/jobstore"
 )
 
-// sendMargin is subtracted from the deduplication window for the time between the check and the arrival at the
-// worker.
-const sendMargin = 10 * time.Millisecond
+// sendMargin is subtracted from the deduplication window, since the process may be held up for this long between the
+// check and the write.
+const sendMargin = 150 * time.Millisecond
 
 // RecordSend records an attempt that is about to be sent, and blocks until the record is on disk. After an error
 // the attempt must not be sent. It returns the record for RetractSend; it is the zero Send if nothing was
