--- a/review/_lab2/stored.go
+++ b/review/_lab2/stored.go
@@ -76,66 +76,10 @@
 }
 
 func init() {
-	cases["resubmission"] = resubmission
 	cases["upgrade"] = upgrade
 	cases["lost-state"] = lostState
 }
 
-// resubmission has a client submit a job again as soon as it has been told that the job has ended.
-func resubmission(l *lab) error {
-	d := newDeployment(l, "", func(string, string, string) time.Duration { return 50 * time.Millisecond })
-	d.start("n0", "")
-	if err := d.waitReady(d.ops); err != nil {
-		return err
-	}
-	const jobs = 100
-	queue, waiter := dialGearman(l, "queueing client", d.gearman), dialGearman(l, "waiting client", d.gearman)
-	created := map[string]string{} // the handle of each job by its data
-	for i := range jobs {
-		unique, first, second := fmt.Sprintf("fund-%d", i), fmt.Sprintf("first job of fund %d", i), fmt.Sprintf("second job of fund %d", i)
-		queue.send(submitJobBG, "price-read", unique, first)
-		answer, err := queue.receive(5 * time.Second)
-		if err != nil || answer.kind != jobCreated {
-			return fmt.Errorf("the first submission was not accepted: %v %v", answer, err)
-		}
-		waiter.send(submitJob, "price-read", unique, first)
-		if answer, err = waiter.receive(5 * time.Second); err != nil || answer.kind != jobCreated {
-			return fmt.Errorf("the waiting submission was not accepted: %v %v", answer, err)
-		}
-		if answer, err = waiter.receive(10 * time.Second); err != nil || answer.kind != workComplete {
-			return fmt.Errorf("the first job was not served: %v %v", answer, err)
-		}
-		if !l.trouble {
-			time.Sleep(500 * time.Millisecond)
-		}
-		queue.send(submitJobBG, "price-read", unique, second)
-		if answer, err = queue.receive(5 * time.Second); err != nil || answer.kind != jobCreated {
-			return fmt.Errorf("the second submission was not accepted: %v %v", answer, err)
-		}
-		created[second] = answer.args[0]
-	}
-	waitUntil(30*time.Second, func() bool {
-		for data := range created {
-			if d.runs(data) == 0 {
-				return false
-			}
-		}
-		return true
-	})
-	l.log("store: %s", strings.ReplaceAll(command(l, d.gearman, "store"), "\n", ", "))
-	lost := 0
-	for data, handle := range created {
-		if d.runs(data) == 0 {
-			lost++
-			l.log("accepted with JOB_CREATED %s and never run: %q", handle, data)
-		}
-	}
-	if lost > 0 {
-		return broken("%d of %d jobs that were accepted after the end of the one before were never run", lost, jobs)
-	}
-	return nil
-}
-
 // upgrade has an upgrade while a stored job waits for its time.
 func upgrade(l *lab) error {
 	d := newDeployment(l, "", func(string, string, string) time.Duration { return 100 * time.Millisecond })
