--- a/review/_lab2/gearman.go
+++ b/review/_lab2/gearman.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -213,3 +214,14 @@
 		}
 	}
 }
+
+// storeValue returns one value of the store's statistics.
+func storeValue(l *lab, addr, name string) int {
+	for _, line := range strings.Split(command(l, addr, "store"), "\n") {
+		if key, value, ok := strings.Cut(line, "\t"); ok && key == name {
+			n, _ := strconv.Atoi(value)
+			return n
+		}
+	}
+	return -1
+}
